Lay out the modules and the first decisions

Cause: an empty repository. Change: Maven modules whose dependencies point one way (core decisions, platform client, configuration, router, command line, stand-ins, lab), with formatter, Error Prone and NullAway as errors; clocks, errors, model, keys, targets, ring, membership and configuration spreading. Conclusion: the thin path can be built on these interfaces.

--- /dev/null
+++ b/core/src/main/java/dev/bluebellshunt/core/model/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' configuration as immutable, validated values. */
+@NullMarked
+package dev.bluebellshunt.core.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/HashRing.java
@@ -0,0 +1,85 @@
+package dev.bluebellshunt.core.routing;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import dev.bluebellshunt.core.target.TargetView;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+
+/** A consistent-hash ring over targets. Immutable. */
+public final class HashRing {
+
+    /** Points of one target on the ring. */
+    static final int POINTS_PER_TARGET = 64;
+
+    private final List<TargetView> targets;
+    private final long[] points;
+    private final int[] owners;
+
+    /**
+     * Builds a ring.
+     *
+     * @param targets the targets on it
+     */
+    public HashRing(List<TargetView> targets) {
+        this.targets =
+                targets.stream().sorted(Comparator.comparing(TargetView::name)).toList();
+        int size = targets.size() * POINTS_PER_TARGET;
+        Point[] sorted = new Point[size];
+        for (int i = 0; i < size; i++) {
+            int owner = i / POINTS_PER_TARGET;
+            sorted[i] = new Point(pointHash(this.targets.get(owner).name(), i % POINTS_PER_TARGET), owner);
+        }
+        Arrays.sort(sorted, Comparator.comparingLong(Point::hash).thenComparingInt(Point::owner));
+        this.points = new long[size];
+        this.owners = new int[size];
+        for (int i = 0; i < size; i++) {
+            points[i] = sorted[i].hash();
+            owners[i] = sorted[i].owner();
+        }
+    }
+
+    private static long pointHash(String name, int replica) {
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putString(name)
+                .putInt(replica)
+                .getAsLong();
+    }
+
+    /**
+     * The targets on the ring.
+     *
+     * @return targets in the order of their names
+     */
+    public List<TargetView> targets() {
+        return targets;
+    }
+
+    /**
+     * Finds the first position for a hash.
+     *
+     * @param hash the hash
+     * @return a position for {@link #ownerAt}
+     */
+    int position(long hash) {
+        int found = Arrays.binarySearch(points, hash);
+        return found >= 0 ? found : -found - 1;
+    }
+
+    /**
+     * The target at a position, which wraps around.
+     *
+     * @param position the position
+     * @return the target
+     */
+    TargetView ownerAt(int position) {
+        return targets.get(owners[Math.floorMod(position, points.length)]);
+    }
+
+    int size() {
+        return points.length;
+    }
+
+    private record Point(long hash, int owner) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/bluebellshunt/core/stream/package-info.java
@@ -0,0 +1,5 @@
+/** Server-sent event streams: complete, in order and without duplicates. */
+@NullMarked
+package dev.bluebellshunt.core.stream;
+
+import org.jspecify.annotations.NullMarked;
