Add the router: callers, peers, operators, proxying and the control thread

Cause: the decisions had no process around them. Change: the router daemon on Jetty server and client; completion and application calls with retries, resume, rate limits by shares and loans, the once ledger, crash suspects, metrics and traces.

--- a/core/src/main/java/dev/bluebellshunt/core/member/GossipSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/member/GossipSystem.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.control.ControlSystem;
 import dev.bluebellshunt.core.control.Every;
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.spread.ConfigurationSystem;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
@@ -20,6 +21,7 @@
 
     private final MemberTable members;
     private final ConfigurationSystem configuration;
+    private final CrashSuspects suspects;
     private final PeerClient peers;
     private final ControlExecutor control;
     private final RandomGenerator random;
@@ -32,6 +34,7 @@
      *
      * @param members the table of members
      * @param configuration the system that spreads configuration
+     * @param suspects the table of requests under suspicion
      * @param peers calls to peers
      * @param control runs work on the control thread
      * @param clock the clock to read
@@ -40,12 +43,14 @@
     public GossipSystem(
             MemberTable members,
             ConfigurationSystem configuration,
+            CrashSuspects suspects,
             PeerClient peers,
             ControlExecutor control,
             MonotonicClock clock,
             RandomGenerator random) {
         this.members = members;
         this.configuration = configuration;
+        this.suspects = suspects;
         this.peers = peers;
         this.control = control;
         this.random = random;
@@ -95,6 +100,7 @@
 
     private void receive(GossipMessage message) {
         message.members().forEach(members::learn);
+        suspects.learn(message.crashStrikes());
         configuration.storeContact(message.storeContactAgeMillis());
         for (Member member : message.members()) {
             configuration.peerHas(member);
@@ -102,7 +108,8 @@
     }
 
     private GossipMessage message() {
-        return new GossipMessage(members.self().vm(), members.all(), configuration.storeContactAgeMillis());
+        return new GossipMessage(
+                members.self().vm(), members.all(), configuration.storeContactAgeMillis(), suspects.report());
     }
 
     /** Alive peers, and one seed in turn so that two halves of a fleet that lost each other meet again. */
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/HttpClients.java
@@ -0,0 +1,51 @@
+package dev.bluebellshunt.router;
+
+import dev.bluebellshunt.core.close.Closer;
+import java.util.concurrent.Executors;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Makes Jetty clients that do only what they are told: no redirects, cookies or decoding. */
+public final class HttpClients {
+
+    private static final int MAX_CONNECTIONS_PER_TARGET = 4096;
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final long IDLE_TIMEOUT_MS = 60_000;
+
+    private HttpClients() {}
+
+    /**
+     * Starts a client.
+     *
+     * @param name the name of its threads
+     * @param closer closes it
+     * @return the client
+     */
+    public static HttpClient start(String name, Closer closer) {
+        QueuedThreadPool threads = new QueuedThreadPool();
+        threads.setName(name);
+        threads.setDaemon(true);
+        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        ClientConnector connector = new ClientConnector();
+        connector.setExecutor(threads);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setExecutor(threads);
+        client.setFollowRedirects(false);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_TARGET);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MS);
+        client.setIdleTimeout(IDLE_TIMEOUT_MS);
+        client.setUserAgentField(null);
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("the HTTP client " + name + " could not start", e);
+        }
+        client.getContentDecoderFactories().clear();
+        closer.add(client::stop);
+        return client;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -0,0 +1,228 @@
+package dev.bluebellshunt.router;
+
+import dev.bluebellshunt.configuration.FleetConfigurationParser;
+import dev.bluebellshunt.configuration.RouterSettings;
+import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.error.Step;
+import dev.bluebellshunt.core.limit.ShareSystem;
+import dev.bluebellshunt.core.limit.WorkspaceLimiter;
+import dev.bluebellshunt.core.member.GossipSystem;
+import dev.bluebellshunt.core.member.Member;
+import dev.bluebellshunt.core.member.MemberTable;
+import dev.bluebellshunt.core.model.FleetConfiguration;
+import dev.bluebellshunt.core.once.OnceLedger;
+import dev.bluebellshunt.core.retry.CrashSuspects;
+import dev.bluebellshunt.core.retry.RunningRequests;
+import dev.bluebellshunt.core.routing.BoundedLoadSelector;
+import dev.bluebellshunt.core.spread.ConfigurationSystem;
+import dev.bluebellshunt.core.target.TargetProbeSystem;
+import dev.bluebellshunt.core.target.TargetTable;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.core.usage.UsageLedger;
+import dev.bluebellshunt.platform.HttpKeyValueStore;
+import dev.bluebellshunt.platform.HttpVmList;
+import dev.bluebellshunt.platform.JsonHttpClient;
+import dev.bluebellshunt.router.admin.AdminHandler;
+import dev.bluebellshunt.router.caller.CallerHandler;
+import dev.bluebellshunt.router.caller.DrainState;
+import dev.bluebellshunt.router.control.ControlLoop;
+import dev.bluebellshunt.router.control.HttpTargetProbe;
+import dev.bluebellshunt.router.control.SnapshotHolder;
+import dev.bluebellshunt.router.control.SnapshotSystem;
+import dev.bluebellshunt.router.control.VmListSystem;
+import dev.bluebellshunt.router.peer.HttpPeerClient;
+import dev.bluebellshunt.router.peer.PeerHandler;
+import dev.bluebellshunt.router.proxy.JettyTargetClient;
+import dev.bluebellshunt.router.proxy.ProxySupport;
+import dev.bluebellshunt.router.telemetry.RouterMetrics;
+import dev.bluebellshunt.router.telemetry.Tracing;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One router process: its control thread, its servers for callers, peers and operators, and its clients. */
+public final class RouterDaemon implements AutoCloseable {
+
+    /** How long callers and peers have to turn away before new work is refused. */
+    private static final Duration ANNOUNCE = Duration.ofSeconds(3);
+
+    private static final Duration POLL = Duration.ofMillis(20);
+    private static final Logger log = LoggerFactory.getLogger("router");
+
+    private final RouterSettings settings;
+    private final MonotonicClock clock;
+    private final Closer closer = new Closer();
+    private final DrainState drain = new DrainState();
+    private final ControlLoop control;
+    private final GossipSystem gossip;
+    private final ShareSystem shares;
+
+    /**
+     * Starts a router.
+     *
+     * @param settings its settings
+     * @param clock the clock of deadlines
+     * @param wallClock the clock that orders starts on one VM
+     */
+    public RouterDaemon(RouterSettings settings, MonotonicClock clock, InstantSource wallClock) {
+        this.settings = settings;
+        this.clock = clock;
+        RandomGenerator random = new SharedRandom();
+        HttpClient pooled = HttpClients.start("targets", closer);
+        HttpClient once = HttpClients.start("targets-once", closer);
+        HttpClient calls = HttpClients.start("calls", closer);
+        Tracing tracing = closer.add(
+                settings.otlpEndpoint().isEmpty()
+                        ? Tracing.off()
+                        : Tracing.exporting(settings.vm(), settings.otlpEndpoint()));
+        this.control = closer.add(new ControlLoop());
+        SnapshotHolder snapshots = new SnapshotHolder();
+        RouterMetrics metrics = new RouterMetrics();
+
+        HttpKeyValueStore store = new HttpKeyValueStore(
+                new JsonHttpClient(calls, JsonHttpClient.mapper(), Step.STORE),
+                settings.store().toString());
+        HttpPeerClient peers =
+                new HttpPeerClient(new JsonHttpClient(calls, JsonHttpClient.mapper(), Step.MEMBERSHIP), snapshots);
+        MemberTable members = new MemberTable(clock, self(settings, wallClock));
+        TargetTable targets = new TargetTable();
+        CrashSuspects suspects = new CrashSuspects(clock);
+        WorkspaceLimiter limiter = new WorkspaceLimiter(clock, peers);
+        OnceLedger ledger = new OnceLedger(
+                store,
+                peers,
+                settings.peers().toString(),
+                () -> UUID.randomUUID().toString());
+
+        this.shares = new ShareSystem(store, members, limiter::share, control, clock, random);
+        ConfigurationTaker taker = new ConfigurationTaker(targets, limiter);
+        ConfigurationSystem spread = new ConfigurationSystem(
+                store, members, peers, new FleetConfigurationParser(), taker::take, control, clock, random);
+        this.gossip = new GossipSystem(members, spread, suspects, peers, control, clock, random);
+        SnapshotSystem publisher = new SnapshotSystem(spread, targets, members, shares, snapshots);
+        taker.publisher = publisher;
+        TargetProbeSystem probes = new TargetProbeSystem(
+                targets,
+                new HttpTargetProbe(new JsonHttpClient(calls, JsonHttpClient.mapper(), Step.ROUTE)),
+                target -> log.info("Target {} came back as a new incarnation.", target),
+                control,
+                clock,
+                random);
+        VmListSystem vmList = new VmListSystem(
+                new HttpVmList(
+                        new JsonHttpClient(calls, JsonHttpClient.mapper(), Step.MEMBERSHIP),
+                        settings.vmList().toString()),
+                members,
+                gossip,
+                targets,
+                shares,
+                settings.seeds(),
+                control,
+                clock,
+                random);
+        control.add(vmList);
+        control.add(spread);
+        control.add(gossip);
+        control.add(probes);
+        control.add(shares);
+        control.add(publisher);
+
+        ProxySupport support = new ProxySupport(
+                clock,
+                random,
+                new JettyTargetClient(pooled, once, clock),
+                new BoundedLoadSelector(clock),
+                limiter,
+                ledger,
+                suspects,
+                new RunningRequests(),
+                ProxySupport.noBudgets(),
+                new UsageLedger(),
+                metrics,
+                tracing,
+                target -> control.execute(() -> probes.hurry(target)));
+        HttpServers.start("peers", settings.peers(), new PeerHandler(control, gossip, spread, limiter, ledger), closer);
+        HttpServers.start(
+                "admin",
+                settings.admin(),
+                new AdminHandler(settings.vm(), snapshots, support, drain, settings.operatorDigest()),
+                closer);
+        CallerHandler callers =
+                new CallerHandler(snapshots, support, settings.requestTimeout(), settings.maxBodyBytes(), drain);
+        HttpServers.start("callers", settings.callers(), callers, closer);
+        control.start();
+        log.info("Router {} serves callers on {}.", settings.vm(), settings.callers());
+    }
+
+    private static Member self(RouterSettings settings, InstantSource wallClock) {
+        return new Member(
+                settings.vm(),
+                wallClock.millis(),
+                settings.peers().host(),
+                settings.peers().port(),
+                settings.failureDomain(),
+                0,
+                false,
+                0);
+    }
+
+    /** Shuts down gracefully: turns new work away, gives shares back, and waits for open requests. */
+    public void drain() {
+        log.info("Router {} shuts down with {} open requests.", settings.vm(), drain.open());
+        Deadline latest = Deadline.after(clock, settings.drainTimeout());
+        drain.announce();
+        control.execute(gossip::leave);
+        control.execute(shares::leave);
+        Deadline refuse = Deadline.after(clock, ANNOUNCE);
+        while (!refuse.hasPassed(clock)) {
+            LockSupport.parkNanos(POLL.toNanos());
+        }
+        drain.refuse();
+        while (drain.open() > 0 && !latest.hasPassed(clock)) {
+            LockSupport.parkNanos(POLL.toNanos());
+        }
+        log.info("Router {} leaves with {} open requests.", settings.vm(), drain.open());
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    /** Hands a revision to all that act on it, on the control thread. */
+    private static final class ConfigurationTaker {
+        private final TargetTable targets;
+        private final WorkspaceLimiter limiter;
+        private @Nullable SnapshotSystem publisher;
+
+        private ConfigurationTaker(TargetTable targets, WorkspaceLimiter limiter) {
+            this.targets = targets;
+            this.limiter = limiter;
+        }
+
+        private void take(FleetConfiguration configuration) {
+            targets.apply(configuration);
+            limiter.apply(configuration.workspaces());
+            if (publisher != null) {
+                publisher.configuration(configuration);
+            }
+            log.info("Revision {} is in force.", configuration.revision());
+        }
+    }
+
+    /** Each thread's own random numbers behind one object. */
+    private static final class SharedRandom implements RandomGenerator {
+        @Override
+        public long nextLong() {
+            return ThreadLocalRandom.current().nextLong();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/admin/AdminHandler.java
@@ -0,0 +1,184 @@
+package dev.bluebellshunt.router.admin;
+
+import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.core.error.ShuntException;
+import dev.bluebellshunt.core.key.CallerKey;
+import dev.bluebellshunt.core.key.KeyCheck;
+import dev.bluebellshunt.core.model.FleetConfiguration;
+import dev.bluebellshunt.core.model.KeySpec;
+import dev.bluebellshunt.core.model.Workspace;
+import dev.bluebellshunt.core.usage.Usage;
+import dev.bluebellshunt.router.caller.DrainState;
+import dev.bluebellshunt.router.control.RouterSnapshot;
+import dev.bluebellshunt.router.control.SnapshotHolder;
+import dev.bluebellshunt.router.proxy.ProxySupport;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The operators' interface. Health checks and metrics are open; all else needs the operators'
+ * credential, but for a workspace's own usage, which its own key opens.
+ */
+public final class AdminHandler extends Handler.Abstract {
+
+    private static final String BEARER = "Bearer ";
+
+    private final String vm;
+    private final SnapshotHolder snapshots;
+    private final ProxySupport support;
+    private final DrainState drain;
+    private final KeySpec operator;
+
+    /**
+     * Creates the handler.
+     *
+     * @param vm the VM's name
+     * @param snapshots the control state
+     * @param support the counters
+     * @param drain whether the process is shutting down
+     * @param operatorDigest salt and digest of the operators' credential, with a colon between them
+     */
+    public AdminHandler(
+            String vm, SnapshotHolder snapshots, ProxySupport support, DrainState drain, String operatorDigest) {
+        this.vm = vm;
+        this.snapshots = snapshots;
+        this.support = support;
+        this.drain = drain;
+        int colon = operatorDigest.indexOf(':');
+        this.operator = new KeySpec(
+                "operator",
+                "operators",
+                operatorDigest.substring(0, Math.max(0, colon)),
+                operatorDigest.substring(colon + 1));
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        switch (Request.getPathInContext(request)) {
+            case "/livez" -> sendText(response, callback, HttpStatus.OK_200, "live\n");
+            case "/readyz" -> sendReadiness(response, callback);
+            case "/metrics" -> sendMetrics(response, callback);
+            case "/v1/usage" -> sendUsage(request, response, callback);
+            case "/v1/status" -> sendGuarded(request, response, callback, status());
+            case "/v1/targets" -> sendGuarded(request, response, callback, targets());
+            case "/v1/workspaces" -> sendGuarded(request, response, callback, workspaces());
+            case "/v1/members" ->
+                sendGuarded(request, response, callback, snapshots.snapshot().members());
+            default ->
+                Response.writeError(request, response, callback, HttpStatus.NOT_FOUND_404, "There is no such path.");
+        }
+        return true;
+    }
+
+    private void sendReadiness(Response response, Callback callback) {
+        RouterSnapshot snapshot = snapshots.snapshot();
+        boolean ready = snapshot.configuration().isPresent() && snapshot.current() && !drain.isDraining();
+        int status = ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
+        sendText(response, callback, status, ready ? "ready\n" : "not ready\n");
+    }
+
+    private void sendMetrics(Response response, Callback callback) {
+        support.metrics().revision(snapshots.snapshot().configuration().revision());
+        sendText(
+                response,
+                callback,
+                HttpStatus.OK_200,
+                new String(support.metrics().scrape(), StandardCharsets.UTF_8));
+    }
+
+    private static void sendText(Response response, Callback callback, int status, String text) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
+        Content.Sink.write(response, true, text, callback);
+    }
+
+    private void sendGuarded(Request request, Response response, Callback callback, Object value) {
+        String credential = credential(request);
+        boolean allowed = credential != null
+                && CallerKey.parse(credential).map(key -> key.matches(operator)).orElse(false);
+        if (!allowed) {
+            Response.writeError(
+                    request, response, callback, HttpStatus.UNAUTHORIZED_401, "The operators' credential is needed.");
+            return;
+        }
+        sendJson(response, callback, value);
+    }
+
+    private void sendUsage(Request request, Response response, Callback callback) {
+        FleetConfiguration configuration = snapshots.snapshot().configuration();
+        try {
+            Workspace workspace = KeyCheck.workspaceOf(configuration, credential(request));
+            Usage usage = support.usage().snapshot().getOrDefault(workspace.name(), Usage.NONE);
+            sendJson(
+                    response,
+                    callback,
+                    new WorkspaceStatus(workspace.name(), workspace.rate(), workspace.burst(), usage));
+        } catch (ShuntException e) {
+            Response.writeError(request, response, callback, HttpStatus.UNAUTHORIZED_401, e.getMessage());
+        }
+    }
+
+    private static @Nullable String credential(Request request) {
+        String authorization = request.getHeaders().get(HttpHeader.AUTHORIZATION);
+        return authorization != null && authorization.startsWith(BEARER)
+                ? authorization.substring(BEARER.length())
+                : null;
+    }
+
+    private static void sendJson(Response response, Callback callback, Object value) {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        Content.Sink.write(response, true, Json.write(value), callback);
+    }
+
+    private Status status() {
+        RouterSnapshot snapshot = snapshots.snapshot();
+        return new Status(
+                vm,
+                snapshot.configuration().revision(),
+                snapshot.current(),
+                drain.isDraining(),
+                drain.open(),
+                snapshot.members().size());
+    }
+
+    private List<TargetStatus> targets() {
+        return snapshots.snapshot().routing().all().stream()
+                .map(view -> new TargetStatus(
+                        view.name(),
+                        view.spec().address(),
+                        view.state().name().toLowerCase(Locale.ROOT),
+                        view.incarnation(),
+                        view.cell().requestsInFlight()))
+                .sorted(Comparator.comparing(TargetStatus::name))
+                .toList();
+    }
+
+    private List<WorkspaceStatus> workspaces() {
+        Map<String, Usage> usage = support.usage().snapshot();
+        return snapshots.snapshot().configuration().workspaces().values().stream()
+                .map(workspace -> new WorkspaceStatus(
+                        workspace.name(),
+                        workspace.rate(),
+                        workspace.burst(),
+                        usage.getOrDefault(workspace.name(), Usage.NONE)))
+                .sorted(Comparator.comparing(WorkspaceStatus::name))
+                .toList();
+    }
+
+    private record Status(String vm, long revision, boolean current, boolean draining, int openRequests, int members) {}
+
+    private record TargetStatus(String name, String address, String state, String incarnation, int inFlight) {}
+
+    private record WorkspaceStatus(String name, long rate, long burst, Usage usage) {}
+}
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/admin/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' interface: status, health and metrics. */
+@NullMarked
+package dev.bluebellshunt.router.admin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/package-info.java
@@ -0,0 +1,5 @@
+/** The callers' interface. */
+@NullMarked
+package dev.bluebellshunt.router.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/control/HttpTargetProbe.java
@@ -0,0 +1,32 @@
+package dev.bluebellshunt.router.control;
+
+import dev.bluebellshunt.core.model.TargetSpec;
+import dev.bluebellshunt.core.target.TargetProbe;
+import dev.bluebellshunt.core.target.TargetReport;
+import dev.bluebellshunt.platform.JsonHttpClient;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpMethod;
+
+/** Asks targets over HTTP; {@code docs/PLATFORM-PROTOCOL.md} describes the call. */
+public final class HttpTargetProbe implements TargetProbe {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private final JsonHttpClient http;
+
+    /**
+     * Creates a probe.
+     *
+     * @param http sends the calls
+     */
+    public HttpTargetProbe(JsonHttpClient http) {
+        this.http = http;
+    }
+
+    @Override
+    public CompletableFuture<TargetReport> probe(TargetSpec target) {
+        return http.send(HttpMethod.GET, target.address(), "/status", null, TIMEOUT)
+                .thenApply(answer -> http.read(answer, TargetReport.class));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ErrorBody.java
@@ -0,0 +1,49 @@
+package dev.bluebellshunt.router.proxy;
+
+import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.core.error.ShuntException;
+import java.nio.charset.StandardCharsets;
+
+/** The JSON of an error, as callers see it. */
+public final class ErrorBody {
+
+    private ErrorBody() {}
+
+    /**
+     * Writes an error.
+     *
+     * @param failure the error
+     * @param requestId the request's id
+     * @return a JSON text's bytes
+     */
+    public static byte[] json(ShuntException failure, String requestId) {
+        return Json.write(envelope(failure, requestId)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Writes an error as the last event of a stream.
+     *
+     * @param failure the error
+     * @param requestId the request's id
+     * @return the event's bytes
+     */
+    static byte[] event(ShuntException failure, String requestId) {
+        String event = "event: error\ndata: " + Json.write(envelope(failure, requestId)) + "\n\n";
+        return event.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Envelope envelope(ShuntException failure, String requestId) {
+        String message = failure.getMessage();
+        return new Envelope(new Body(
+                failure.code().wireName(),
+                message == null ? "" : message,
+                failure.step().wireName(),
+                failure.peer(),
+                failure.outcome().wireName(),
+                requestId));
+    }
+
+    private record Envelope(Body error) {}
+
+    private record Body(String code, String message, String step, String peer, String outcome, String request_id) {}
+}
