--- a/router/src/main/java/dev/bluebellshunt/router/HttpClients.java
+++ b/router/src/main/java/dev/bluebellshunt/router/HttpClients.java
@@ -8,7 +8,10 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
-/** Makes Jetty clients that do only what they are told: no redirects, cookies or decoding. */
+/**
+ * Makes Jetty clients that do only what they are told: no redirects, cookies or decoding, and no
+ * protocol handlers, some of which send a request again.
+ */
 public final class HttpClients {
 
     private static final int MAX_CONNECTIONS_PER_TARGET = 4096;
@@ -45,6 +48,7 @@
             throw new IllegalStateException("the HTTP client " + name + " could not start", e);
         }
         client.getContentDecoderFactories().clear();
+        client.getProtocolHandlers().clear();
         closer.add(client::stop);
         return client;
     }
--- a/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -122,6 +123,9 @@
         if (retryAfter != null) {
             headers.put(HttpHeader.RETRY_AFTER, Long.toString(Math.max(1, retryAfter.toSeconds())));
         }
+        if (failure.code().status() == HttpStatus.UNAUTHORIZED_401) {
+            headers.put(HttpHeader.WWW_AUTHENTICATE, "Bearer realm=\"bluebellshunt\"");
+        }
         if (failure.code() == ErrorCode.BODY_TOO_LARGE) {
             headers.put(HttpHeader.CONNECTION, "close");
         }
