Serve until quiet at a planned stop

Change: the router first announces the stop, then closes its listener only, answers whatever still comes on open connections with Connection: close, and leaves once nothing has come for 2 s.

--- a/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
+++ b/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
@@ -19,8 +19,8 @@
 
     private HttpServers() {}
 
-    /** Starts a server and returns the port on which it listens. */
-    static int start(String name, HostPort address, Handler handler, Closer closer) {
+    /** Starts a server; closing its connector refuses new connections and keeps open ones. */
+    static ServerConnector start(String name, HostPort address, Handler handler, Closer closer) {
         QueuedThreadPool threads = new QueuedThreadPool();
         threads.setName(name);
         threads.setDaemon(true);
@@ -43,6 +43,6 @@
             throw new IllegalStateException("the server " + name + " could not listen on " + address, e);
         }
         closer.add(server::stop);
-        return connector.getLocalPort();
+        return connector;
     }
 }
--- a/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -44,6 +44,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.ServerConnector;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,7 +52,7 @@
 /** One router process: its control thread, its servers for callers, peers and operators, and its clients. */
 public final class RouterDaemon implements AutoCloseable {
 
-    /** How long callers and peers have to turn away before new work is refused. */
+    /** How long the balancer and peers have to turn away before new connections are refused. */
     private static final Duration ANNOUNCE = Duration.ofSeconds(3);
 
     private static final Duration POLL = Duration.ofMillis(20);
@@ -60,7 +61,8 @@
     private final RouterSettings settings;
     private final MonotonicClock clock;
     private final Closer closer = new Closer();
-    private final DrainState drain = new DrainState();
+    private final DrainState drain;
+    private final ServerConnector callers;
     private final ControlLoop control;
     private final GossipSystem gossip;
     private final ShareSystem shares;
@@ -75,6 +77,7 @@
     public RouterDaemon(RouterSettings settings, MonotonicClock clock, InstantSource wallClock) {
         this.settings = settings;
         this.clock = clock;
+        this.drain = new DrainState(clock);
         RandomGenerator random = new SharedRandom();
         HttpClient pooled = HttpClients.start("targets", closer);
         HttpClient once = HttpClients.start("targets-once", closer);
@@ -155,9 +158,9 @@
                 settings.admin(),
                 new AdminHandler(settings.vm(), snapshots, support, drain, settings.operatorDigest()),
                 closer);
-        CallerHandler callers =
+        CallerHandler handler =
                 new CallerHandler(snapshots, support, settings.requestTimeout(), settings.maxBodyBytes(), drain);
-        HttpServers.start("callers", settings.callers(), callers, closer);
+        this.callers = HttpServers.start("callers", settings.callers(), handler, closer);
         control.start();
         log.info("Router {} serves callers on {}.", settings.vm(), settings.callers());
     }
@@ -174,19 +177,22 @@
                 0);
     }
 
-    /** Shuts down gracefully: turns new work away, gives shares back, and waits for open requests. */
+    /**
+     * Shuts down gracefully: tells balancer and peers, gives shares back, refuses new connections, and
+     * serves what still comes on open ones until it is quiet.
+     */
     public void drain() {
         log.info("Router {} shuts down with {} open requests.", settings.vm(), drain.open());
         Deadline latest = Deadline.after(clock, settings.drainTimeout());
         drain.announce();
         control.execute(gossip::leave);
         control.execute(shares::leave);
-        Deadline refuse = Deadline.after(clock, ANNOUNCE);
-        while (!refuse.hasPassed(clock)) {
+        Deadline closeListener = Deadline.after(clock, ANNOUNCE);
+        while (!closeListener.hasPassed(clock)) {
             LockSupport.parkNanos(POLL.toNanos());
         }
-        drain.refuse();
-        while (drain.open() > 0 && !latest.hasPassed(clock)) {
+        callers.close();
+        while (!drain.isQuiet() && !latest.hasPassed(clock)) {
             LockSupport.parkNanos(POLL.toNanos());
         }
         log.info("Router {} leaves with {} open requests.", settings.vm(), drain.open());
--- a/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
@@ -158,10 +158,6 @@
         }
 
         private void serve() throws IOException {
-            if (drain.refusesNewWork()) {
-                throw ShuntException.notRun(
-                        ErrorCode.DRAINING, Step.DRAIN, "This router is shutting down.", Duration.ofSeconds(1));
-            }
             if (!snapshot.configuration().isPresent()) {
                 throw ShuntException.notRun(
                         ErrorCode.NOT_CONFIGURED,
