--- a/core/src/main/java/dev/bluebellshunt/core/control/Every.java
+++ b/core/src/main/java/dev/bluebellshunt/core/control/Every.java
@@ -42,11 +42,20 @@
         if (!next.hasPassed(clock)) {
             return false;
         }
-        double factor = 1 + JITTER * (2 * random.nextDouble() - 1);
-        next = Deadline.after(clock, Duration.ofNanos((long) (interval.toNanos() * factor)));
+        again(interval);
         return true;
     }
 
+    /**
+     * Sets the next time by an interval other than the usual one.
+     *
+     * @param other the mean time from now
+     */
+    public void again(Duration other) {
+        double factor = 1 + JITTER * (2 * random.nextDouble() - 1);
+        next = Deadline.after(clock, Duration.ofNanos((long) (other.toNanos() * factor)));
+    }
+
     /** Makes the work due at once. */
     public void hurry() {
         next = new Deadline(clock.nanos());
--- a/core/src/main/java/dev/bluebellshunt/core/error/ShuntException.java
+++ b/core/src/main/java/dev/bluebellshunt/core/error/ShuntException.java
@@ -7,7 +7,8 @@
  * The root of the errors of bluebellshunt.
  *
  * <p>An error says at which step and with which peer it arose and what became of the request. Its
- * message never holds a caller's key or any part of a prompt.
+ * message never holds a caller's key or any part of a prompt. A refusal of a request that has not run
+ * is an ordinary answer and has no stack trace, since under overload most answers are refusals.
  */
 public class ShuntException extends RuntimeException {
 
@@ -51,7 +52,7 @@
             String message,
             @Nullable Duration retryAfter,
             @Nullable Throwable cause) {
-        super(message, cause);
+        super(message, cause, true, outcome != Outcome.NOT_RUN);
         this.code = code;
         this.step = step;
         this.peer = peer;
--- a/core/src/main/java/dev/bluebellshunt/core/limit/ShareSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/limit/ShareSystem.java
@@ -93,7 +93,7 @@
     /** Gives all shares away, as far as the store allows. */
     public void leave() {
         leaving = true;
-        groups.forEach(group -> group.waiting.hurry());
+        groups.forEach(group -> group.look.hurry());
     }
 
     /**
@@ -280,11 +280,11 @@
                     if (result instanceof CasResult.Written written) {
                         group.confirmed(record, written.revision());
                     }
-                    group.waiting.hurry();
+                    group.look.hurry();
                 },
                 failure -> {
                     group.pending = false;
-                    group.waiting.hurry();
+                    group.look.hurry();
                 });
     }
 
@@ -295,9 +295,7 @@
     /** The control state of one group. */
     private final class Group {
         private final int number;
-        private final Every refresh;
-        private final Every waiting;
-        private final Every others;
+        private final Every look;
         private @Nullable ShareRecord record;
         private long revision;
         private int confirmedParts;
@@ -307,20 +305,20 @@
 
         private Group(int number, MonotonicClock clock, RandomGenerator random) {
             this.number = number;
-            this.refresh = new Every(clock, random, REFRESH);
-            this.waiting = new Every(clock, random, REFRESH_WHILE_WAITING);
-            this.others = new Every(clock, random, REFRESH_OF_OTHERS);
+            this.look = new Every(clock, random, REFRESH_WHILE_WAITING);
         }
 
+        /** The rendezvous choice is made only when a look is due, since it grows with the fleet. */
         private boolean isDue() {
-            if (leaving) {
-                return confirmedParts > 0 && waiting.isDue();
+            if (!look.isDue()) {
+                return false;
             }
-            if (confirmedParts > 0) {
-                return refresh.isDue();
+            if (!leaving && confirmedParts > 0) {
+                look.again(REFRESH);
+            } else if (!leaving && record != null && !isWanted()) {
+                look.again(REFRESH_OF_OTHERS);
             }
-            boolean waits = isWanted() || record == null;
-            return waits ? waiting.isDue() : others.isDue();
+            return true;
         }
 
         private void seen(ShareRecord seen, long atRevision) {
@@ -338,7 +336,6 @@
             revision = atRevision;
             confirmedParts = written.parts(self().vm(), self().incarnation());
             use(confirmedParts);
-            refresh.hurry();
         }
 
         private void use(int parts) {
--- a/core/src/main/java/dev/bluebellshunt/core/spread/ConfigurationSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/spread/ConfigurationSystem.java
@@ -41,6 +41,9 @@
     /** Mean time between reads of the store while nobody reaches it. */
     static final Duration PROBE_INTERVAL = Duration.ofSeconds(2);
 
+    /** Mean time between two choices of the VMs that watch. */
+    private static final Duration ROLE_INTERVAL = Duration.ofSeconds(1);
+
     private static final Duration UNATTESTED = Duration.ofSeconds(5);
     private static final long NEVER = -1;
 
@@ -52,9 +55,11 @@
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final Every probe;
+    private final Every role;
 
     private ConfigurationPayload current = ConfigurationPayload.NONE;
     private boolean readPending;
+    private boolean watcher;
     private long fetchingRevision;
     private boolean contacted;
     private long contactNanos;
@@ -88,6 +93,7 @@
         this.control = control;
         this.clock = clock;
         this.probe = new Every(clock, random, PROBE_INTERVAL);
+        this.role = new Every(clock, random, ROLE_INTERVAL);
     }
 
     @Override
@@ -101,7 +107,10 @@
             }
             return;
         }
-        if (isWatcher()) {
+        if (role.isDue()) {
+            watcher = isWatcher();
+        }
+        if (watcher) {
             if (isAttested() || probe.isDue()) {
                 read(store.watch(KEY, current.revision()));
             }
--- a/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -151,7 +151,8 @@
                 new UsageLedger(),
                 metrics,
                 tracing,
-                target -> control.execute(() -> probes.hurry(target)));
+                target -> control.execute(() -> probes.hurry(target)),
+                wait -> LockSupport.parkNanos(wait.toNanos()));
         HttpServers.start("peers", settings.peers(), new PeerHandler(control, gossip, spread, limiter, ledger), closer);
         HttpServers.start(
                 "admin",
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ProxySupport.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ProxySupport.java
@@ -19,7 +19,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -39,6 +38,7 @@
  * @param metrics the metrics
  * @param tracing the traces
  * @param targetFailed is told of targets that failed a request
+ * @param pause waits before a further try
  */
 public record ProxySupport(
         MonotonicClock clock,
@@ -53,7 +53,8 @@
         UsageLedger usage,
         RouterMetrics metrics,
         Tracing tracing,
-        Consumer<String> targetFailed) {
+        Consumer<String> targetFailed,
+        Consumer<Duration> pause) {
 
     /** How long a target that failed a request gets no new work from this VM, unless a probe clears it. */
     private static final Duration SUSPICION = Duration.ofSeconds(2);
@@ -84,7 +85,7 @@
     void pauseBefore(int retry, Deadline deadline) {
         Duration wait = Backoff.before(retry, random);
         Duration left = deadline.remaining(clock);
-        LockSupport.parkNanos(Math.min(wait.toNanos(), left.toNanos()));
+        pause.accept(wait.compareTo(left) < 0 ? wait : left);
     }
 
     void suspect(TargetView target) {
--- /dev/null
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyBench.java
@@ -0,0 +1,251 @@
+package dev.bluebellshunt.router.proxy;
+
+import dev.bluebellshunt.core.error.ErrorCode;
+import dev.bluebellshunt.core.error.Outcome;
+import dev.bluebellshunt.core.error.ShuntException;
+import dev.bluebellshunt.core.error.Step;
+import dev.bluebellshunt.core.limit.ShareGroup;
+import dev.bluebellshunt.core.limit.TokenLender;
+import dev.bluebellshunt.core.limit.WorkspaceLimiter;
+import dev.bluebellshunt.core.model.FleetConfiguration;
+import dev.bluebellshunt.core.model.ModelSpec;
+import dev.bluebellshunt.core.model.TargetKind;
+import dev.bluebellshunt.core.model.TargetSpec;
+import dev.bluebellshunt.core.model.Workspace;
+import dev.bluebellshunt.core.once.AttemptInquiry;
+import dev.bluebellshunt.core.once.OnceLedger;
+import dev.bluebellshunt.core.retry.CrashSuspects;
+import dev.bluebellshunt.core.retry.RunningRequests;
+import dev.bluebellshunt.core.routing.BoundedLoadSelector;
+import dev.bluebellshunt.core.routing.RoutingSnapshot;
+import dev.bluebellshunt.core.target.TargetCell;
+import dev.bluebellshunt.core.target.TargetState;
+import dev.bluebellshunt.core.target.TargetView;
+import dev.bluebellshunt.core.testing.FakeStore;
+import dev.bluebellshunt.core.testing.ManualClock;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.usage.Usage;
+import dev.bluebellshunt.core.usage.UsageLedger;
+import dev.bluebellshunt.router.control.RouterSnapshot;
+import dev.bluebellshunt.router.telemetry.RouterMetrics;
+import dev.bluebellshunt.router.telemetry.Tracing;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpFields;
+import org.jspecify.annotations.Nullable;
+
+/** One router's proxying with scripted targets, and without a network. */
+final class ProxyBench {
+
+    static final Workspace WORKSPACE = new Workspace("press", 10_000, 40_000, 1);
+    static final String WEIGHTS = "v1";
+    private static final AtomicInteger ATTEMPTS = new AtomicInteger();
+
+    final ManualClock clock = new ManualClock();
+    final FakeStore store;
+    final CrashSuspects suspects = new CrashSuspects(clock);
+    final UsageLedger usage = new UsageLedger();
+    final List<Sent> sent = new ArrayList<>();
+    final OnceLedger ledger;
+    final WorkspaceLimiter limiter;
+    final ProxySupport support;
+    private final List<TargetView> targets = new ArrayList<>();
+
+    ProxyBench(FakeStore store, AttemptInquiry inquiry, TargetClient script, int targetCount) {
+        this.store = store;
+        limiter = new WorkspaceLimiter(clock, new NoLender());
+        limiter.apply(Map.of(WORKSPACE.name(), WORKSPACE));
+        limiter.share(ShareGroup.of(WORKSPACE.name()), 1);
+        clock.advance(Duration.ofSeconds(100));
+        ledger = new OnceLedger(
+                store, inquiry, "self-" + System.identityHashCode(this), () -> "attempt-" + ATTEMPTS.incrementAndGet());
+        for (int i = 1; i <= targetCount; i++) {
+            targets.add(target("target-" + i, "domain-" + i));
+        }
+        support = new ProxySupport(
+                clock,
+                new Random(7),
+                (target, request) -> {
+                    sent.add(new Sent(target.name(), request));
+                    return script.send(target, request);
+                },
+                new BoundedLoadSelector(clock),
+                limiter,
+                ledger,
+                suspects,
+                new RunningRequests(),
+                ProxySupport.noBudgets(),
+                usage,
+                new RouterMetrics(),
+                Tracing.off(),
+                target -> {},
+                wait -> {});
+    }
+
+    private static TargetView target(String name, String domain) {
+        TargetSpec spec =
+                new TargetSpec(name, TargetKind.ENGINE, "10.0.0.1", 80, domain, Set.of("model", "desk"), false, false);
+        return new TargetView(spec, TargetState.LIVE, "i1", new TargetCell());
+    }
+
+    CallContext context() {
+        FleetConfiguration configuration = new FleetConfiguration(
+                1,
+                Map.of(WORKSPACE.name(), WORKSPACE),
+                Map.of("model", new ModelSpec("model", WEIGHTS)),
+                Map.of(),
+                List.of(),
+                Map.of());
+        List<TargetView> views = new ArrayList<>(targets);
+        targets.forEach(view -> views.add(new TargetView(
+                new TargetSpec(
+                        view.name(),
+                        TargetKind.APPLICATION,
+                        "10.0.0.1",
+                        80,
+                        view.spec().failureDomain(),
+                        Set.of("desk"),
+                        false,
+                        false),
+                TargetState.LIVE,
+                "i1",
+                view.cell())));
+        RouterSnapshot snapshot =
+                new RouterSnapshot(configuration, new RoutingSnapshot(views), true, List.of(), Map.of());
+        return new CallContext(
+                "request-1",
+                snapshot,
+                WORKSPACE,
+                clock.nanos(),
+                Deadline.after(clock, Duration.ofSeconds(60)),
+                support.tracing().server("test", HttpFields.EMPTY));
+    }
+
+    Usage charged() {
+        return usage.snapshot().getOrDefault(WORKSPACE.name(), Usage.NONE);
+    }
+
+    /** Requests that may still be running on a target, by its counters. */
+    int inFlight() {
+        return targets.stream().mapToInt(view -> view.cell().requestsInFlight()).sum();
+    }
+
+    long prefillInFlight() {
+        return targets.stream()
+                .mapToLong(view -> view.cell().prefillTokensInFlight())
+                .sum();
+    }
+
+    static ShuntException unreachable(TargetView target) {
+        return new ShuntException(
+                ErrorCode.TARGET_FAILED,
+                Step.CONNECT,
+                target.name(),
+                Outcome.NOT_RUN,
+                "refused",
+                null,
+                new ConnectException("refused"));
+    }
+
+    static ShuntException noAnswer(TargetView target) {
+        return new ShuntException(
+                ErrorCode.TARGET_FAILED,
+                Step.FORWARD,
+                target.name(),
+                Outcome.UNKNOWN,
+                "reset",
+                null,
+                new IOException("reset"));
+    }
+
+    static TargetAnswer answer(int status, HttpFields headers, String body, boolean breaks) {
+        InputStream text = new ByteArrayInputStream(body.getBytes(StandardCharsets.UTF_8));
+        return new ScriptedAnswer(status, headers, breaks ? new SequenceInputStream(text, new Reset()) : text);
+    }
+
+    record Sent(String target, OutgoingRequest request) {}
+
+    private record ScriptedAnswer(int status, HttpFields headers, InputStream body) implements TargetAnswer {
+        @Override
+        public void close() {}
+    }
+
+    /** A connection that is reset. */
+    private static final class Reset extends InputStream {
+        @Override
+        public int read() throws IOException {
+            throw new IOException("reset");
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            throw new IOException("reset");
+        }
+    }
+
+    private static final class NoLender implements TokenLender {
+        @Override
+        public List<String> lenders(String workspace) {
+            return List.of();
+        }
+
+        @Override
+        public CompletableFuture<Long> borrow(String address, String workspace, long wanted) {
+            return CompletableFuture.completedFuture(0L);
+        }
+    }
+
+    /** A caller that keeps what it receives, and may hang up. */
+    static final class FakeCaller implements CallerSink {
+        final ByteArrayOutputStream received = new ByteArrayOutputStream();
+        int status;
+        boolean ended;
+        private final int hangsUpAfterBytes;
+        private @Nullable HttpFields headers;
+
+        FakeCaller() {
+            this(Integer.MAX_VALUE);
+        }
+
+        FakeCaller(int hangsUpAfterBytes) {
+            this.hangsUpAfterBytes = hangsUpAfterBytes;
+        }
+
+        @Override
+        public void begin(int newStatus, HttpFields newHeaders) {
+            status = newStatus;
+            headers = newHeaders;
+        }
+
+        @Override
+        public boolean hasBegun() {
+            return headers != null;
+        }
+
+        @Override
+        public void write(byte[] bytes, boolean last) throws IOException {
+            if (received.size() + bytes.length > hangsUpAfterBytes) {
+                throw new IOException("the caller is gone");
+            }
+            received.writeBytes(bytes);
+            ended = ended || last;
+        }
+
+        String text() {
+            return received.toString(StandardCharsets.UTF_8);
+        }
+    }
+}
