--- a/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
@@ -111,7 +111,7 @@
             }
             case ANSWER_LOST -> fleet.store.loseAnswerOf((key, value) -> key.equals(LimitFleet.KEY));
             case WRITE_DELAYED -> fleet.store.delayWriteOf((key, value) -> key.equals(LimitFleet.KEY));
-            case LAGGING_READS -> fleet.store.lagging(true);
+            case LAGGING_READS -> fleet.laggingVm = "vm-0";
             case HOLDER_PAUSED -> fleet.vm("vm-0").paused = true;
             case VM_RESTARTED -> fleet.restart("vm-0");
             case HERD_RESTART -> List.copyOf(fleet.vms.keySet()).forEach(fleet::restart);
@@ -127,7 +127,7 @@
     private static void heal(LimitFleet fleet) {
         fleet.store.releaseDelayed();
         fleet.store.down(false);
-        fleet.store.lagging(false);
+        fleet.laggingVm = "";
         fleet.loansLost = false;
         fleet.vms.values().forEach(vm -> vm.paused = false);
     }
@@ -143,6 +143,33 @@
         assertThat(fleet.violations(), is(0L));
     }
 
+    @Test
+    void unspentLoanKeepsItsRoomReserved() {
+        LimitFleet fleet = new LimitFleet(4, SEED);
+        fleet.run(SETTLE, LimitFleet.Demand.NONE);
+        fleet.vm("vm-3").paused = true;
+        // Too much for three VMs, so that the borrowed tokens are not spent at once.
+        fleet.run(LimitFleet.TICK, (vm, random) -> vm.name.equals("vm-0") ? List.of(3_900L) : List.of());
+        fleet.vm("vm-3").paused = false;
+        fleet.run(WorkspaceBucket.LOAN.minus(LimitFleet.TICK.multipliedBy(2)), LimitFleet.Demand.NONE);
+        fleet.run(LimitFleet.TICK.multipliedBy(4), LimitFleet.Demand.GREEDY);
+        assertThat(fleet.violations(), is(0L));
+    }
+
+    @Test
+    void giverThatReadsALaggingReplicaDoesNotUseThePartThatItGave() {
+        LimitFleet fleet = new LimitFleet(2, SEED);
+        fleet.run(SETTLE, LimitFleet.Demand.NONE);
+        List<String> givers = List.copyOf(fleet.vms.keySet());
+        for (String giver : givers) {
+            fleet.start("new-" + giver);
+            fleet.store.loseAnswerOf((key, value) -> key.equals(LimitFleet.KEY));
+            fleet.laggingVm = giver;
+            fleet.run(SETTLE, LimitFleet.Demand.GREEDY);
+        }
+        assertThat(fleet.violations(), is(0L));
+    }
+
     @Test
     void trafficOnOneVmAloneGetsTheWholeRate() {
         LimitFleet fleet = new LimitFleet(4, SEED);
--- a/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
@@ -40,6 +40,9 @@
     final Map<String, Vm> vms = new TreeMap<>();
     final Set<String> gone = new HashSet<>();
     boolean loansLost;
+    /** The VM whose reads of the store come from a lagging replica. */
+    String laggingVm = "";
+
     private final Random random;
     private double reference = WORKSPACE.burst();
     private long referenceNanos;
@@ -176,8 +179,10 @@
             members.forget(gone);
             shares.gone(gone);
             control.runAll();
+            store.lagging(name.equals(laggingVm));
             shares.tick();
             control.runAll();
+            store.lagging(false);
         }
 
         private void ask(long tokens) {
--- a/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -63,6 +63,7 @@
     private final Closer closer = new Closer();
     private final DrainState drain;
     private final ServerConnector callers;
+    private final ServerConnector admin;
     private final ControlLoop control;
     private final GossipSystem gossip;
     private final ShareSystem shares;
@@ -75,6 +76,10 @@
      * @param wallClock the clock that orders starts on one VM
      */
     public RouterDaemon(RouterSettings settings, MonotonicClock clock, InstantSource wallClock) {
+        this(settings, clock, wallClock, tracing(settings));
+    }
+
+    RouterDaemon(RouterSettings settings, MonotonicClock clock, InstantSource wallClock, Tracing tracing) {
         this.settings = settings;
         this.clock = clock;
         this.drain = new DrainState(clock);
@@ -82,10 +87,7 @@
         HttpClient pooled = HttpClients.start("targets", closer);
         HttpClient once = HttpClients.start("targets-once", closer);
         HttpClient calls = HttpClients.start("calls", closer);
-        Tracing tracing = closer.add(
-                settings.otlpEndpoint().isEmpty()
-                        ? Tracing.off()
-                        : Tracing.exporting(settings.vm(), settings.otlpEndpoint()));
+        closer.add(tracing);
         this.control = closer.add(new ControlLoop());
         SnapshotHolder snapshots = new SnapshotHolder();
         RouterMetrics metrics = new RouterMetrics();
@@ -154,7 +156,7 @@
                 target -> control.execute(() -> probes.hurry(target)),
                 wait -> LockSupport.parkNanos(wait.toNanos()));
         HttpServers.start("peers", settings.peers(), new PeerHandler(control, gossip, spread, limiter, ledger), closer);
-        HttpServers.start(
+        this.admin = HttpServers.start(
                 "admin",
                 settings.admin(),
                 new AdminHandler(settings.vm(), snapshots, support, drain, settings.operatorDigest()),
@@ -166,6 +168,11 @@
         log.info("Router {} serves callers on {}.", settings.vm(), settings.callers());
     }
 
+    private static Tracing tracing(RouterSettings settings) {
+        String endpoint = settings.otlpEndpoint();
+        return endpoint.isEmpty() ? Tracing.off() : Tracing.exporting(settings.vm(), endpoint);
+    }
+
     private static Member self(RouterSettings settings, InstantSource wallClock) {
         return new Member(
                 settings.vm(),
@@ -199,6 +206,24 @@
         log.info("Router {} leaves with {} open requests.", settings.vm(), drain.open());
     }
 
+    /**
+     * The port on which the router listens for callers.
+     *
+     * @return a TCP port
+     */
+    public int callerPort() {
+        return callers.getLocalPort();
+    }
+
+    /**
+     * The port on which the router listens for operators.
+     *
+     * @return a TCP port
+     */
+    public int adminPort() {
+        return admin.getLocalPort();
+    }
+
     @Override
     public void close() {
         closer.close();
