Weigh a miss against a queue, and rank workspaces by their use

Cause: the ring with a load bound put whole workspaces on one engine and spread them blindly. Change: a selector that looks at a handful of candidates (the probable holder of the deepest prefix, two ring owners, two random targets) and compares missing tokens times 20 with queued tokens, since a miss also pushes others' blocks out; priorities for engines from each workspace's decayed use over its weight; 'bench policy', the experiment in virtual time with the router's real selectors.

--- a/core/src/main/java/dev/bluebellshunt/core/routing/BoundedLoadSelector.java
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/BoundedLoadSelector.java
@@ -27,7 +27,7 @@
     }
 
     @Override
-    public Optional<TargetView> select(HashRing candidates, PrefixChain chain, Set<String> excluded) {
+    public Optional<Choice> select(HashRing candidates, PrefixChain chain, Set<String> excluded) {
         int total = 0;
         int usable = 0;
         for (TargetView view : candidates.targets()) {
@@ -41,7 +41,7 @@
             return Optional.empty();
         }
         double bound = LOAD_FACTOR * (total + 1) / usable;
-        return walk(candidates, chain, excluded, usable, bound);
+        return walk(candidates, chain, excluded, usable, bound).map(view -> new Choice(view, chain.tokens()));
     }
 
     private Optional<TargetView> walk(
--- a/core/src/main/java/dev/bluebellshunt/core/routing/HashRing.java
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/HashRing.java
@@ -5,6 +5,9 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /** A consistent-hash ring over targets. Immutable. */
 public final class HashRing {
@@ -15,6 +18,7 @@
     private final List<TargetView> targets;
     private final long[] points;
     private final int[] owners;
+    private final Map<String, TargetView> byName;
 
     /**
      * Builds a ring.
@@ -24,6 +28,7 @@
     public HashRing(List<TargetView> targets) {
         this.targets =
                 targets.stream().sorted(Comparator.comparing(TargetView::name)).toList();
+        this.byName = this.targets.stream().collect(Collectors.toUnmodifiableMap(TargetView::name, view -> view));
         int size = targets.size() * POINTS_PER_TARGET;
         Point[] sorted = new Point[size];
         for (int i = 0; i < size; i++) {
@@ -77,6 +82,12 @@
         return targets.get(owners[Math.floorMod(position, points.length)]);
     }
 
+    /** The target of a name, or null where it is not on the ring. */
+    @Nullable
+    TargetView find(String name) {
+        return byName.get(name);
+    }
+
     int size() {
         return points.length;
     }
--- a/core/src/main/java/dev/bluebellshunt/core/routing/TargetSelector.java
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/TargetSelector.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Chooses one of the targets that can run a request. */
+/** Chooses one of the targets that can run a request. Safe for use by many threads. */
 @FunctionalInterface
 public interface TargetSelector {
 
@@ -14,7 +14,16 @@
      * @param candidates the targets that serve the request's model or service
      * @param chain the prompt's prefix chain
      * @param excluded names of targets that must not be chosen
-     * @return the target, or empty where none is left
+     * @return the choice, or empty where none is left
      */
-    Optional<TargetView> select(HashRing candidates, PrefixChain chain, Set<String> excluded);
+    Optional<Choice> select(HashRing candidates, PrefixChain chain, Set<String> excluded);
+
+    /**
+     * Learns how much of a prompt a target had cached.
+     *
+     * @param target the target that answered
+     * @param chain the prompt's prefix chain
+     * @param cachedTokens tokens that it found in its cache
+     */
+    default void answered(TargetView target, PrefixChain chain, long cachedTokens) {}
 }
--- a/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.core.testing.FaultMatrix;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.BiPredicate;
 import java.util.stream.Stream;
@@ -152,7 +153,9 @@
         fleet.run(LimitFleet.TICK, (vm, random) -> vm.name.equals("vm-0") ? List.of(3_900L) : List.of());
         fleet.vm("vm-3").paused = false;
         fleet.run(WorkspaceBucket.LOAN.minus(LimitFleet.TICK.multipliedBy(2)), LimitFleet.Demand.NONE);
-        fleet.run(LimitFleet.TICK.multipliedBy(4), LimitFleet.Demand.GREEDY);
+        List<Long> many = Collections.nCopies(30, 100L);
+        fleet.run(LimitFleet.TICK, (vm, random) -> vm.name.equals("vm-0") ? List.of(2_900L) : many);
+        assertThat("the loan was still there", fleet.vm("vm-0").accepted, is(1L));
         assertThat(fleet.violations(), is(0L));
     }
 
@@ -160,13 +163,15 @@
     void giverThatReadsALaggingReplicaDoesNotUseThePartThatItGave() {
         LimitFleet fleet = new LimitFleet(2, SEED);
         fleet.run(SETTLE, LimitFleet.Demand.NONE);
-        List<String> givers = List.copyOf(fleet.vms.keySet());
-        for (String giver : givers) {
-            fleet.start("new-" + giver);
-            fleet.store.loseAnswerOf((key, value) -> key.equals(LimitFleet.KEY));
-            fleet.laggingVm = giver;
-            fleet.run(SETTLE, LimitFleet.Demand.GREEDY);
+        ShareRecord before = fleet.record();
+        fleet.start("vm-9");
+        fleet.store.loseAnswerOf((key, value) -> key.equals(LimitFleet.KEY));
+        while (fleet.record().equals(before)) {
+            fleet.run(LimitFleet.TICK, LimitFleet.Demand.NONE);
         }
+        fleet.laggingVm = fleet.giver(before);
+        fleet.run(SETTLE, LimitFleet.Demand.GREEDY);
+        assertThat("the newcomer's share", fleet.vm("vm-9").share, greaterThan(0.0));
         assertThat(fleet.violations(), is(0L));
     }
 
--- a/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
@@ -115,13 +115,29 @@
         return violations;
     }
 
+    ShareRecord record() {
+        String text = store.peek(KEY).orElseThrow().value();
+        return Json.read(text, ShareRecord.class);
+    }
+
+    /** The VM that has fewer parts than before. */
+    String giver(ShareRecord before) {
+        return before.shares().keySet().stream()
+                .filter(vm -> partsOf(record(), vm) < partsOf(before, vm))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static int partsOf(ShareRecord record, String vm) {
+        ShareRecord.Share share = record.share(vm);
+        return share == null ? 0 : share.parts();
+    }
+
     /** Parts of the whole in the store's record. */
     int recordedParts() {
-        return store.peek(KEY)
-                .map(entry -> Json.read(entry.value(), ShareRecord.class).shares().values().stream()
-                        .mapToInt(ShareRecord.Share::parts)
-                        .sum())
-                .orElse(0);
+        return record().shares().values().stream()
+                .mapToInt(ShareRecord.Share::parts)
+                .sum();
     }
 
     /** Parts that live processes use. */
--- a/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
@@ -137,6 +137,20 @@
         assertThat(fleet.vm("vm-2").spread.isCurrent(), is(true));
     }
 
+    @Test
+    void olderRevisionIsNeverTakenWhoeverOffersIt() {
+        SpreadFleet fleet = new SpreadFleet(VMS, SEED);
+        fleet.publish("one");
+        fleet.run(SETTLE);
+        ConfigurationPayload older = fleet.vm("vm-0").spread.payload();
+        fleet.publish("two");
+        fleet.run(IN_FORCE);
+        fleet.vm("vm-0").spread.offer(older);
+        fleet.vm("vm-0").spread.offer(fleet.vm("vm-0").spread.payload());
+        assertThat(fleet.vm("vm-0").spread.revision(), is(fleet.published()));
+        assertThat(fleet.reverts(), is(0L));
+    }
+
     @Test
     void everyVmGoesOnServingThroughAnHourWithoutTheStore() {
         SpreadFleet fleet = new SpreadFleet(VMS, SEED);
--- a/lab/src/main/java/dev/bluebellshunt/lab/Main.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/Main.java
@@ -6,6 +6,7 @@
 import dev.bluebellshunt.cli.Console;
 import dev.bluebellshunt.lab.demo.DemoCommand;
 import dev.bluebellshunt.lab.demo.DemoPrepareCommand;
+import dev.bluebellshunt.lab.experiment.PolicyCommand;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -27,6 +28,7 @@
         commands.add(new StandInCommand("vm-list"));
         commands.add(new DemoPrepareCommand());
         commands.add(new DemoCommand());
+        commands.add(new PolicyCommand());
         System.exit(new CommandLineRunner(commands, Console.system()).run(words));
     }
 }
--- a/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -13,7 +13,9 @@
 import dev.bluebellshunt.core.once.OnceLedger;
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.retry.RunningRequests;
-import dev.bluebellshunt.core.routing.BoundedLoadSelector;
+import dev.bluebellshunt.core.routing.CostSelector;
+import dev.bluebellshunt.core.routing.FairPriority;
+import dev.bluebellshunt.core.routing.PrefixKnowledge;
 import dev.bluebellshunt.core.spread.ConfigurationSystem;
 import dev.bluebellshunt.core.target.TargetProbeSystem;
 import dev.bluebellshunt.core.target.TargetTable;
@@ -144,7 +146,8 @@
                 clock,
                 random,
                 new JettyTargetClient(pooled, once, clock),
-                new BoundedLoadSelector(clock),
+                new CostSelector(clock, random, new PrefixKnowledge(clock)),
+                new FairPriority(clock),
                 limiter,
                 ledger,
                 suspects,
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -195,7 +195,8 @@
         String service = request.route().service();
         return support.selector()
                 .select(context.snapshot().routing().applications(service), affinity, excluded)
-                .orElseThrow(() -> support.noTarget(service));
+                .orElseThrow(() -> support.noTarget(service))
+                .target();
     }
 
     private Attempt attempt(TargetView target) {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -8,6 +8,7 @@
 import dev.bluebellshunt.core.model.ModelSpec;
 import dev.bluebellshunt.core.model.Workspace;
 import dev.bluebellshunt.core.retry.CrashSuspects;
+import dev.bluebellshunt.core.routing.Choice;
 import dev.bluebellshunt.core.routing.HashRing;
 import dev.bluebellshunt.core.routing.PrefixChain;
 import dev.bluebellshunt.core.stream.EventReader;
@@ -53,6 +54,7 @@
     private final Set<String> excluded = new HashSet<>();
     private @Nullable String answeringWeights;
     private long generatedWhole;
+    private int priority;
 
     /**
      * Creates a call.
@@ -104,6 +106,7 @@
         }
         long admitted = chain.tokens() + request.maxTokens();
         support.limiter().admit(workspace, admitted);
+        priority = support.priority().of(workspace, chain.tokens());
         long used = 0;
         try {
             serve();
@@ -146,10 +149,10 @@
         }
     }
 
-    private TargetView choose() throws IOException {
+    private Choice choose() throws IOException {
         excluded.addAll(support.suspects().crashedTargets(fingerprint));
         HashRing engines = context.snapshot().routing().engines(model.name());
-        Optional<TargetView> target = support.selector().select(engines, chain, excluded);
+        Optional<Choice> target = support.selector().select(engines, chain, excluded);
         if (target.isEmpty()) {
             throw broken(support.noTarget(model.name()));
         }
@@ -157,13 +160,14 @@
     }
 
     /** Tries one engine; null stands for success. */
-    private @Nullable ShuntException attempt(TargetView target) throws IOException {
+    private @Nullable ShuntException attempt(Choice choice) throws IOException {
+        TargetView target = choice.target();
         Tracing.Hop hop = support.tracing().client("engine", context.hop()).with("target", target.name());
         String result = "caller_gone";
         support.running().begin(target.name(), fingerprint);
-        target.cell().begin(chain.tokens());
+        target.cell().begin(choice.prefillTokens());
         try {
-            ShuntException failure = sendAndTake(target, hop);
+            ShuntException failure = sendAndTake(choice, hop);
             result = failure == null ? "ok" : failure.code().wireName();
             if (failure == null) {
                 support.suspects().answered(fingerprint);
@@ -179,14 +183,15 @@
         }
     }
 
-    private @Nullable ShuntException sendAndTake(TargetView target, Tracing.Hop hop) throws IOException {
+    private @Nullable ShuntException sendAndTake(Choice choice, Tracing.Hop hop) throws IOException {
+        TargetView target = choice.target();
         TargetAnswer received;
         try {
             received = support.client().send(target, outgoing(hop));
         } catch (ShuntException e) {
             return e;
         } finally {
-            target.cell().prefilled(chain.tokens());
+            target.cell().prefilled(choice.prefillTokens());
         }
         try (TargetAnswer answer = received) {
             return take(target, answer);
@@ -226,6 +231,7 @@
                         TargetHeaders.REMAINING_MS,
                         Long.toString(
                                 context.deadline().remaining(support.clock()).toMillis()));
+        headers.put(TargetHeaders.PRIORITY, Integer.toString(priority));
         if (progress.delivered() > 0) {
             headers.put(TargetHeaders.LAST_EVENT_ID, Long.toString(progress.delivered()));
         }
@@ -241,7 +247,7 @@
         if (answer.status() >= FIRST_ERROR_STATUS) {
             return passOn(target, answer);
         }
-        countCached(answer);
+        countCached(target, answer);
         return request.stream() ? takeStream(target, answer) : passOn(target, answer);
     }
 
@@ -269,9 +275,12 @@
         return null;
     }
 
-    private void countCached(TargetAnswer answer) {
+    private void countCached(TargetView target, TargetAnswer answer) {
         long cached = answer.headers().getLongField(TargetHeaders.CACHED_TOKENS);
         support.metrics().tokens(workspace.name(), "cached", cached);
+        if (cached >= 0) {
+            support.selector().answered(target, chain, cached);
+        }
     }
 
     private @Nullable ShuntException takeStream(TargetView target, TargetAnswer answer) throws IOException {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ProxySupport.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ProxySupport.java
@@ -9,6 +9,7 @@
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.retry.RetryBudget;
 import dev.bluebellshunt.core.retry.RunningRequests;
+import dev.bluebellshunt.core.routing.FairPriority;
 import dev.bluebellshunt.core.routing.TargetSelector;
 import dev.bluebellshunt.core.target.TargetView;
 import dev.bluebellshunt.core.time.Deadline;
@@ -29,6 +30,7 @@
  * @param random the source of jitter, safe for many threads
  * @param client sends requests to targets
  * @param selector chooses targets
+ * @param priority ranks requests by what their workspace used lately
  * @param limiter admits requests within their workspace's rate and burst
  * @param ledger lets requests run at most once
  * @param suspects requests under suspicion of crashing targets
@@ -45,6 +47,7 @@
         RandomGenerator random,
         TargetClient client,
         TargetSelector selector,
+        FairPriority priority,
         WorkspaceLimiter limiter,
         OnceLedger ledger,
         CrashSuspects suspects,
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/CompletionFaultMatrixTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/CompletionFaultMatrixTests.java
@@ -168,8 +168,11 @@
                         200, headers(ProxyBench.WEIGHTS), before + events(step.tokensBefore + 2, TOKENS), false);
             case CROSSED_ANSWER ->
                 ProxyBench.answer(
-                        200, headers(ProxyBench.WEIGHTS).put(TargetHeaders.REQUEST_ID, "request-2"), all, false);
-            case OTHER_WEIGHTS -> ProxyBench.answer(200, headers("v2"), all, false);
+                        200,
+                        headers(ProxyBench.WEIGHTS).put(TargetHeaders.REQUEST_ID, "request-2"),
+                        all.replace("t\"", "other\""),
+                        false);
+            case OTHER_WEIGHTS -> ProxyBench.answer(200, headers("v2"), all.replace("t\"", "other\""), false);
             case SERVER_ERROR -> ProxyBench.answer(500, headers(ProxyBench.WEIGHTS), "", false);
             case SAYS_NOT_RUN ->
                 ProxyBench.answer(503, headers(ProxyBench.WEIGHTS).put(TargetHeaders.NOT_RUN, "true"), "", false);
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyBench.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyBench.java
@@ -16,7 +16,9 @@
 import dev.bluebellshunt.core.once.OnceLedger;
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.retry.RunningRequests;
-import dev.bluebellshunt.core.routing.BoundedLoadSelector;
+import dev.bluebellshunt.core.routing.CostSelector;
+import dev.bluebellshunt.core.routing.FairPriority;
+import dev.bluebellshunt.core.routing.PrefixKnowledge;
 import dev.bluebellshunt.core.routing.RoutingSnapshot;
 import dev.bluebellshunt.core.target.TargetCell;
 import dev.bluebellshunt.core.target.TargetState;
@@ -82,7 +84,8 @@
                     sent.add(new Sent(target.name(), request));
                     return script.send(target, request);
                 },
-                new BoundedLoadSelector(clock),
+                new CostSelector(clock, new Random(8), new PrefixKnowledge(clock)),
+                new FairPriority(clock),
                 limiter,
                 ledger,
                 suspects,
