Measure a router's overhead and the slopes of control work

Cause: nothing said what a router adds to a call, nor how its work grows. Change: 'bench overhead' (direct and routed in one run, open and closed loop, streamed events, heap of 1000 open streams) and 'bench slopes' (a table and CSV). Servers accept 1024 waiting connections, since 1000 callers at once timed out on the default queue. A grant test now holds the giver's replica still.

--- a/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
@@ -164,6 +164,7 @@
         LimitFleet fleet = new LimitFleet(2, SEED);
         fleet.run(SETTLE, LimitFleet.Demand.NONE);
         ShareRecord before = fleet.record();
+        fleet.laggingRevision = fleet.store.peek(LimitFleet.KEY).orElseThrow().revision();
         fleet.start("vm-9");
         fleet.store.loseAnswerOf((key, value) -> key.equals(LimitFleet.KEY));
         while (fleet.record().equals(before)) {
--- a/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
@@ -42,6 +42,8 @@
     boolean loansLost;
     /** The VM whose reads of the store come from a lagging replica. */
     String laggingVm = "";
+    /** What those reads show, zero for the revision before the latest. */
+    long laggingRevision;
 
     private final Random random;
     private double reference = WORKSPACE.burst();
@@ -195,7 +197,11 @@
             members.forget(gone);
             shares.gone(gone);
             control.runAll();
-            store.lagging(name.equals(laggingVm));
+            if (name.equals(laggingVm) && laggingRevision > 0) {
+                store.laggingAt(laggingRevision);
+            } else {
+                store.lagging(name.equals(laggingVm));
+            }
             shares.tick();
             control.runAll();
             store.lagging(false);
--- a/core/src/test/java/dev/bluebellshunt/core/testing/FakeStore.java
+++ b/core/src/test/java/dev/bluebellshunt/core/testing/FakeStore.java
@@ -18,6 +18,7 @@
 
     private final SortedMap<String, StoreEntry> entries = new TreeMap<>();
     private final SortedMap<String, StoreEntry> previous = new TreeMap<>();
+    private final List<StoreEntry> history = new ArrayList<>();
     private final List<Runnable> delayed = new ArrayList<>();
     private BiPredicate<String, String> loses = (key, value) -> false;
     private BiPredicate<String, String> delays = (key, value) -> false;
@@ -35,6 +36,17 @@
         lagging = now;
     }
 
+    /** Reads answer with the latest entry up to a revision. */
+    public void laggingAt(long latestRevision) {
+        lagging = true;
+        previous.clear();
+        for (StoreEntry entry : history) {
+            if (entry.revision() <= latestRevision) {
+                previous.put(entry.key(), entry);
+            }
+        }
+    }
+
     /** The next write that matches takes effect, and its answer is lost. */
     public void loseAnswerOf(BiPredicate<String, String> match) {
         loses = match;
@@ -114,7 +126,9 @@
             previous.put(key, present);
         }
         revision++;
-        entries.put(key, new StoreEntry(key, value, revision));
+        StoreEntry entry = new StoreEntry(key, value, revision);
+        entries.put(key, entry);
+        history.add(entry);
         return new CasResult.Written(revision);
     }
 
--- a/lab/src/main/java/dev/bluebellshunt/lab/Main.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/Main.java
@@ -4,6 +4,8 @@
 import dev.bluebellshunt.cli.CommandLineRunner;
 import dev.bluebellshunt.cli.Commands;
 import dev.bluebellshunt.cli.Console;
+import dev.bluebellshunt.lab.bench.OverheadCommand;
+import dev.bluebellshunt.lab.bench.SlopesCommand;
 import dev.bluebellshunt.lab.demo.DemoCommand;
 import dev.bluebellshunt.lab.demo.DemoPrepareCommand;
 import dev.bluebellshunt.lab.experiment.PolicyCommand;
@@ -29,6 +31,8 @@
         commands.add(new DemoPrepareCommand());
         commands.add(new DemoCommand());
         commands.add(new PolicyCommand());
+        commands.add(new OverheadCommand());
+        commands.add(new SlopesCommand());
         System.exit(new CommandLineRunner(commands, Console.system()).run(words));
     }
 }
--- a/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
+++ b/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
@@ -13,6 +13,7 @@
 /** Makes Jetty servers whose handlers run on virtual threads. */
 final class HttpServers {
 
+    private static final int ACCEPT_QUEUE = 1_024;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
     private static final long IDLE_TIMEOUT_MS = 600_000;
@@ -34,6 +35,7 @@
         ServerConnector connector = new ServerConnector(server, new HttpConnectionFactory(http));
         connector.setHost(address.host());
         connector.setPort(address.port());
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         server.addConnector(connector);
         server.setHandler(handler);
--- a/standins/src/main/java/dev/bluebellshunt/standins/StandInServer.java
+++ b/standins/src/main/java/dev/bluebellshunt/standins/StandInServer.java
@@ -11,6 +11,7 @@
 /** A Jetty server on loopback whose handler runs on virtual threads. */
 public final class StandInServer implements AutoCloseable {
 
+    private static final int ACCEPT_QUEUE = 1_024;
     private static final long IDLE_TIMEOUT_MS = 600_000;
 
     private final Server server;
@@ -34,6 +35,7 @@
         this.connector = new ServerConnector(server, new HttpConnectionFactory(http));
         connector.setHost(host);
         connector.setPort(port);
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         server.addConnector(connector);
         server.setHandler(handler);
