--- a/lab/src/main/java/dev/bluebellshunt/lab/bench/OverheadCommand.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/bench/OverheadCommand.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.standins.engine.StandInEngine;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +26,8 @@
     private static final int STREAM_CALLERS = 8;
     private static final int OPEN_STREAMS = 1_000;
     private static final int OPENED_AT_ONCE = 100;
-    private static final long DEFAULT_SECONDS = 5;
+    private static final long DEFAULT_SECONDS = 1;
+    private static final int ROUNDS = 5;
     private static final String SHORT =
             "{\"model\":\"model\",\"max_tokens\":4,\"prompt\":\"Classify this report of an error.\"}";
     private static final String STREAM =
@@ -67,37 +69,50 @@
         return ExitCode.OK;
     }
 
+    /** Direct and routed calls take turns, so that a slow moment of the machine meets both. */
     private static void throughput(Console console, LoadGenerator direct, LoadGenerator routed, Duration time)
             throws InterruptedException {
-        LoadGenerator.Load without = direct.closedLoop(CALLERS, time, SHORT);
-        LoadGenerator.Load with = routed.closedLoop(CALLERS, time, SHORT);
+        List<Double> ratios = new ArrayList<>();
+        List<Double> rates = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            double without = direct.closedLoop(CALLERS, time, SHORT).perSecond();
+            double with = routed.closedLoop(CALLERS, time, SHORT).perSecond();
+            ratios.add(with / without);
+            rates.add(with);
+        }
         console.print(
-                "requests a second, %d callers: direct %.0f, routed %.0f, ratio %.2f, failed %d",
-                CALLERS, without.perSecond(), with.perSecond(), with.perSecond() / without.perSecond(), with.failed());
-        double half = with.perSecond() / 2;
-        LoadGenerator.Load paced = direct.openLoop(CALLERS, time, SHORT, half);
-        LoadGenerator.Load pacedRouted = routed.openLoop(CALLERS, time, SHORT, half);
+                "requests a second, %d callers, %d rounds: routed %.0f (median), routed against direct %.2f (%.2f to %.2f)",
+                CALLERS, ROUNDS, median(rates), median(ratios), Collections.min(ratios), Collections.max(ratios));
+        double half = median(rates) / 2;
         for (double percentile : new double[] {50, 99}) {
+            List<Double> added = new ArrayList<>();
+            for (int round = 0; round < ROUNDS; round++) {
+                double without = direct.openLoop(CALLERS, time, SHORT, half).millis(percentile);
+                added.add(routed.openLoop(CALLERS, time, SHORT, half).millis(percentile) - without);
+            }
             console.print(
-                    "latency p%.0f at %.0f requests a second: direct %.2f ms, routed %.2f ms, added %.2f ms",
-                    percentile,
-                    half,
-                    paced.millis(percentile),
-                    pacedRouted.millis(percentile),
-                    pacedRouted.millis(percentile) - paced.millis(percentile));
+                    "added latency p%.0f at %.0f requests a second: %.2f ms (%.2f to %.2f)",
+                    percentile, half, median(added), Collections.min(added), Collections.max(added));
         }
     }
 
     private static void streams(Console console, LoadGenerator direct, LoadGenerator routed, Duration time)
             throws InterruptedException {
-        LoadGenerator.Load without = direct.closedLoop(STREAM_CALLERS, time, STREAM);
-        LoadGenerator.Load with = routed.closedLoop(STREAM_CALLERS, time, STREAM);
+        List<Double> ratios = new ArrayList<>();
+        List<Double> rates = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            double without = direct.closedLoop(STREAM_CALLERS, time, STREAM).eventsPerSecond();
+            double with = routed.closedLoop(STREAM_CALLERS, time, STREAM).eventsPerSecond();
+            ratios.add(with / without);
+            rates.add(with);
+        }
         console.print(
-                "streamed events a second, %d callers: direct %.0f, routed %.0f, ratio %.2f",
-                STREAM_CALLERS,
-                without.eventsPerSecond(),
-                with.eventsPerSecond(),
-                with.eventsPerSecond() / without.eventsPerSecond());
+                "streamed events a second, %d callers: routed %.0f (median), routed against direct %.2f (%.2f to %.2f)",
+                STREAM_CALLERS, median(rates), median(ratios), Collections.min(ratios), Collections.max(ratios));
+    }
+
+    private static double median(List<Double> values) {
+        return values.stream().sorted().toList().get(values.size() / 2);
     }
 
     /** The heap of client and engine alone is taken off from that of client, router and engine. */
