Pack gossip, and answer in JSON where the server refuses

Cause: at 350 members a gossip message was 52,243 B and a node's gossip 418 KB/s, against 7 KB/s for all control; oversized headers got an HTML page; the stand-in engine published no cache events and its load did not lag; headers of over 8 KB, which routers take, could not be passed on by their client. Change: one byte of age a member under a hash of the member set, whole rows for changes alone; a JSON error handler; late and gappy cache events and a lagging load in the stand-in; 32 KB of headers to targets.

--- a/core/src/main/java/dev/bluebellshunt/core/member/GossipSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/member/GossipSystem.java
@@ -17,7 +17,7 @@
 public final class GossipSystem implements ControlSystem {
 
     /** Mean time between two exchanges that this process begins. */
-    static final Duration INTERVAL = Duration.ofMillis(500);
+    static final Duration INTERVAL = Duration.ofMillis(600);
 
     private final MemberTable members;
     private final ConfigurationSystem configuration;
@@ -78,13 +78,13 @@
         if (!every.isDue()) {
             return;
         }
-        members.beat(configuration.revision(), leaving);
+        members.describe(configuration.revision(), leaving);
         List<String> addresses = addresses();
         if (addresses.isEmpty()) {
             return;
         }
         String address = addresses.get(random.nextInt(addresses.size()));
-        control.await(peers.gossip(address, message()), this::receive, failure -> {});
+        control.await(peers.gossip(address, message(false)), this::receive, failure -> {});
     }
 
     /**
@@ -95,21 +95,30 @@
      */
     public GossipMessage answer(GossipMessage message) {
         receive(message);
-        return message();
+        members.describe(configuration.revision(), leaving);
+        return message(message.membersHash() != members.hash());
     }
 
     private void receive(GossipMessage message) {
-        message.members().forEach(members::learn);
+        for (GossipMessage.MemberRow row : message.rows()) {
+            members.learn(row.member(), row.ageMillis());
+        }
+        members.hear(message.membersHash(), message.ages());
         suspects.learn(message.crashStrikes());
         configuration.storeContact(message.storeContactAgeMillis());
-        for (Member member : message.members()) {
-            configuration.peerHas(member);
+        for (GossipMessage.MemberRow row : message.rows()) {
+            configuration.peerHas(row.member());
         }
     }
 
-    private GossipMessage message() {
+    private GossipMessage message(boolean allRows) {
         return new GossipMessage(
-                members.self().vm(), members.all(), configuration.storeContactAgeMillis(), suspects.report());
+                members.self().vm(),
+                members.hash(),
+                members.ages(),
+                members.rows(allRows),
+                configuration.storeContactAgeMillis(),
+                suspects.report());
     }
 
     /** Alive peers, and one seed in turn so that two halves of a fleet that lost each other meet again. */
--- a/core/src/main/java/dev/bluebellshunt/core/member/Member.java
+++ b/core/src/main/java/dev/bluebellshunt/core/member/Member.java
@@ -10,7 +10,7 @@
  * @param host its IP number
  * @param peerPort its TCP port for peers
  * @param failureDomain the failure domain in which it stands
- * @param heartbeat grows as long as the process lives
+ * @param version grows with each change of the description
  * @param leaving whether it is shutting down
  * @param revision the configuration revision that it has in force
  */
@@ -20,7 +20,7 @@
         String host,
         int peerPort,
         String failureDomain,
-        long heartbeat,
+        long version,
         boolean leaving,
         long revision) {
 
@@ -48,10 +48,13 @@
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
         }
-        return heartbeat > other.heartbeat;
+        return version > other.version;
     }
 
-    Member beat(long newRevision, boolean nowLeaving) {
-        return new Member(vm, incarnation, host, peerPort, failureDomain, heartbeat + 1, nowLeaving, newRevision);
+    Member changed(long newRevision, boolean nowLeaving) {
+        if (newRevision == revision && nowLeaving == leaving) {
+            return this;
+        }
+        return new Member(vm, incarnation, host, peerPort, failureDomain, version + 1, nowLeaving, newRevision);
     }
 }
--- a/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
@@ -188,10 +188,10 @@
         }
 
         private void tick() {
-            members.beat(0, leaving);
+            members.describe(0, leaving);
             for (Vm other : vms.values()) {
                 if (!other.paused) {
-                    members.learn(other.members.self());
+                    members.learn(other.members.self(), 0);
                 }
             }
             members.forget(gone);
--- a/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
@@ -151,6 +151,20 @@
         assertThat(fleet.reverts(), is(0L));
     }
 
+    @Test
+    void fleetOfTheDesignSizeHearsItselfAndTakesAChangeInTime() {
+        SpreadFleet fleet = new SpreadFleet(350, SEED);
+        fleet.publish("one");
+        fleet.run(SETTLE.multipliedBy(2));
+        long unheard = fleet.vms.values().stream()
+                .mapToLong(vm -> 349 - vm.members.alivePeers().size())
+                .sum();
+        assertThat("pairs of VMs that do not hear each other", unheard, is(0L));
+        fleet.publish("two");
+        fleet.run(IN_FORCE);
+        assertThat(fleet.allHave(fleet.published()), is(true));
+    }
+
     @Test
     void everyVmGoesOnServingThroughAnHourWithoutTheStore() {
         SpreadFleet fleet = new SpreadFleet(VMS, SEED);
--- a/core/src/test/java/dev/bluebellshunt/core/spread/SpreadFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/spread/SpreadFleet.java
@@ -24,6 +24,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** VMs that spread configuration revisions among themselves, over links that can be cut. */
 final class SpreadFleet {
@@ -40,11 +42,13 @@
 
     private final Map<String, Long> highest = new TreeMap<>();
     private final Random random;
+    private final int size;
     private long reverts;
     private long incarnations;
 
     SpreadFleet(int size, long seed) {
         random = new Random(seed);
+        this.size = size;
         for (int i = 0; i < size; i++) {
             start("vm-" + i);
         }
@@ -121,8 +125,9 @@
                     clock,
                     random);
             gossip = new GossipSystem(members, spread, new CrashSuspects(clock), this, control, clock, random);
-            members.expect(6);
-            gossip.seeds(Set.of("vm-0:1", "vm-1:1", "vm-2:1", "vm-3:1", "vm-4:1", "vm-5:1"));
+            members.expect(size);
+            gossip.seeds(
+                    IntStream.range(0, size).mapToObj(i -> "vm-" + i + ":1").collect(Collectors.toSet()));
         }
 
         private void inForce(FleetConfiguration configuration) {
--- a/lab/src/main/java/dev/bluebellshunt/lab/bench/SlopesCommand.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/bench/SlopesCommand.java
@@ -185,17 +185,42 @@
             vms.add("vm-" + i);
             members.add(new Member("vm-" + i, 1_790_000_000_000L, "10.0.1." + i % 250, 7000, "domain-1", 1, false, 9));
         }
-        GossipMessage message = new GossipMessage("vm-0", members, 100, Map.of());
-        String text = Json.write(message);
-        print(console, "bytes of a gossip message, body", count, text.length(), "bytes");
-        print(console, "writing and reading a gossip message", count, nanos(() -> roundTrip(message)), "ns");
         MemberTable table = new MemberTable(clock, members.getFirst());
-        print(console, "learning a gossip message", count, nanos(() -> members.forEach(table::learn)), "ns");
+        members.forEach(member -> table.learn(member, 0));
+        GossipMessage message = message(table, false);
+        print(
+                console,
+                "bytes of a gossip message, body",
+                count,
+                Json.write(message).length(),
+                "bytes");
+        int whole = Json.write(message(table, true)).length();
+        print(console, "bytes of a gossip message, all rows", count, whole, "bytes");
+        print(console, "writing and reading a gossip message", count, nanos(() -> roundTrip(message)), "ns");
+        print(
+                console,
+                "making a gossip message",
+                count,
+                nanos(() -> sink += message(table, false).membersHash()),
+                "ns");
+        print(
+                console,
+                "hearing a gossip message",
+                count,
+                nanos(() -> table.hear(message.membersHash(), message.ages())),
+                "ns");
         print(console, "rendezvous choice of owners", count, nanos(() -> sink += owners(vms)), "ns");
     }
 
+    /** A message of a fleet in which nothing changed lately, or with all rows. */
+    private static GossipMessage message(MemberTable table, boolean allRows) {
+        List<GossipMessage.MemberRow> rows =
+                allRows ? table.rows(true) : table.rows(false).subList(0, 1);
+        return new GossipMessage("vm-0", table.hash(), table.ages(), rows, 100, Map.of());
+    }
+
     private void roundTrip(GossipMessage message) {
-        sink += Json.read(Json.write(message), GossipMessage.class).members().size();
+        sink += Json.read(Json.write(message), GossipMessage.class).rows().size();
     }
 
     private static int owners(List<String> vms) {
--- a/router/src/main/java/dev/bluebellshunt/router/HttpClients.java
+++ b/router/src/main/java/dev/bluebellshunt/router/HttpClients.java
@@ -14,6 +14,9 @@
  */
 public final class HttpClients {
 
+    /** Larger than what a router takes from callers, whose headers it passes on with some of its own. */
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+
     private static final int MAX_CONNECTIONS_PER_TARGET = 4096;
     private static final long CONNECT_TIMEOUT_MS = 1_000;
     private static final long IDLE_TIMEOUT_MS = 60_000;
@@ -42,6 +45,7 @@
         client.setConnectTimeout(CONNECT_TIMEOUT_MS);
         client.setIdleTimeout(IDLE_TIMEOUT_MS);
         client.setUserAgentField(null);
+        client.setMaxRequestHeadersSize(MAX_HEADER_BYTES);
         try {
             client.start();
         } catch (Exception e) {
--- a/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
+++ b/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
@@ -39,6 +39,7 @@
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         server.addConnector(connector);
         server.setHandler(handler);
+        server.setErrorHandler(new JsonErrorHandler());
         try {
             server.start();
         } catch (Exception e) {
--- a/router/src/test/java/dev/bluebellshunt/router/RouterDaemonTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/RouterDaemonTests.java
@@ -201,6 +201,15 @@
         assertThat(answer.getStatus(), is(413));
     }
 
+    @Test
+    void oversizedHeaderIsRefusedInJson() throws Exception {
+        ContentResponse answer = http.newRequest("http://" + HOST + ":" + router.callerPort() + "/record/x")
+                .headers(headers -> headers.put("x-large", "x".repeat(20_000)))
+                .send();
+        assertThat(answer.getStatus(), is(431));
+        assertThat(answer.getContentAsString(), containsString("\"outcome\":\"not_run\""));
+    }
+
     @Test
     void openRouteNeedsNoKeyAndOthersDo() throws Exception {
         assertThat(
--- a/standins/src/main/java/dev/bluebellshunt/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/dev/bluebellshunt/standins/engine/PrefixCache.java
@@ -8,6 +8,7 @@
 /** A cache of prompt blocks that drops the least recently used ones. Not safe for many threads. */
 public final class PrefixCache {
 
+    private final CacheEvents events = new CacheEvents();
     private final int capacity;
     private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -41,17 +42,28 @@
      */
     public void add(PrefixChain chain) {
         for (int depth = chain.depth(); depth > 0; depth--) {
-            blocks.put(chain.hash(depth), Boolean.TRUE);
+            if (blocks.put(chain.hash(depth), Boolean.TRUE) == null) {
+                events.record(chain.hash(depth), true);
+            }
             blocks.get(chain.hash(depth));
         }
         Iterator<Long> oldest = blocks.keySet().iterator();
         int surplus = blocks.size() - capacity;
         for (int i = 0; i < surplus; i++) {
-            oldest.next();
+            events.record(oldest.next(), false);
             oldest.remove();
         }
     }
 
+    /**
+     * The events of this cache.
+     *
+     * @return the events, late and with gaps
+     */
+    public CacheEvents events() {
+        return events;
+    }
+
     /** Drops all blocks. */
     public void clear() {
         blocks.clear();
--- a/standins/src/main/java/dev/bluebellshunt/standins/engine/StandInEngine.java
+++ b/standins/src/main/java/dev/bluebellshunt/standins/engine/StandInEngine.java
@@ -31,6 +31,7 @@
     /** A prompt that holds this text crashes the engine once its answer has begun. */
     public static final String CRASH_MARK = "CRASH-THE-ENGINE";
 
+    private static final long REPORT_LAG_NANOS = 500_000_000;
     private static final long IDLE_PARK_NANOS = 1_000_000;
     private static final int BYTES_OF_A_TOKEN = 64;
 
@@ -152,10 +153,15 @@
     }
 
     private final class EngineHandler extends Handler.Abstract {
+        private long reportedNanos;
+        private int reportedRunning;
+        private long reportedTokens;
+
         @Override
         public boolean handle(Request request, Response response, Callback callback) throws Exception {
             Exchange exchange = new Exchange(request, response, callback);
             switch (exchange.path()) {
+                case "/events" -> exchange.send(HttpStatus.OK_200, cacheEvents(exchange.number("after", 0)));
                 case "/status" -> exchange.send(HttpStatus.OK_200, status());
                 case "/v1/chat/completions", "/v1/completions" -> complete(exchange);
                 case "/control/crash" -> {
@@ -176,9 +182,22 @@
             return true;
         }
 
+        /** The load lags by up to {@link #REPORT_LAG_NANOS}; incarnation and leaving do not. */
         private Status status() {
             synchronized (lock) {
-                return new Status(incarnation, leaving, model.running(), model.queuedTokens());
+                long now = System.nanoTime();
+                if (now - reportedNanos > REPORT_LAG_NANOS) {
+                    reportedNanos = now;
+                    reportedRunning = model.running();
+                    reportedTokens = model.queuedTokens();
+                }
+                return new Status(incarnation, leaving, reportedRunning, reportedTokens);
+            }
+        }
+
+        private CacheEvents.Page cacheEvents(long after) {
+            synchronized (lock) {
+                return model.cache().events().after(after, System.nanoTime());
             }
         }
 
