Tidy: one source of fault pairs, bounded memory of abandoned attempts

Cause: three matrices built their pairs alike; attempts that were given up in an outage were kept for good. Change: FaultMatrix.pairs; the ledger keeps the last 100,000 abandoned attempts, older ones count as unknown, which is safe; an unused accessor is gone.

--- a/core/src/main/java/dev/bluebellshunt/core/once/OnceLedger.java
+++ b/core/src/main/java/dev/bluebellshunt/core/once/OnceLedger.java
@@ -12,8 +12,11 @@
 import dev.bluebellshunt.core.store.StoreEntry;
 import dev.bluebellshunt.core.store.StoreException;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
@@ -41,7 +44,8 @@
     private final AttemptInquiry inquiry;
     private final String self;
     private final Supplier<String> attemptIds;
-    private final Map<String, AttemptStatus> own = new ConcurrentHashMap<>();
+    private final Set<String> running = ConcurrentHashMap.newKeySet();
+    private final Map<String, Boolean> neverSent = Collections.synchronizedMap(new Recent());
 
     /**
      * Creates a ledger.
@@ -87,7 +91,7 @@
     public Begin begin(String key, String bodyDigest) {
         String attempt = attemptIds.get();
         OnceRecord record = new OnceRecord(attempt, self, bodyDigest, OnceRecord.State.STARTED, null);
-        own.put(attempt, AttemptStatus.RUNNING);
+        running.add(attempt);
         Begin begin;
         try {
             begin = claim(key, record);
@@ -96,7 +100,7 @@
             throw e;
         }
         if (!(begin instanceof Begin.Fresh)) {
-            own.remove(attempt);
+            running.remove(attempt);
         }
         return begin;
     }
@@ -199,7 +203,10 @@
      * @return its status
      */
     public AttemptStatus status(String attempt) {
-        return own.getOrDefault(attempt, AttemptStatus.UNKNOWN);
+        if (neverSent.containsKey(attempt)) {
+            return AttemptStatus.NEVER_SENT;
+        }
+        return running.contains(attempt) ? AttemptStatus.RUNNING : AttemptStatus.UNKNOWN;
     }
 
     /**
@@ -211,7 +218,7 @@
      */
     public boolean finish(Begin.Attempt attempt, OnceResult result) {
         boolean written = replace(attempt, attempt.record().finished(result));
-        own.remove(attempt.record().attempt());
+        running.remove(attempt.record().attempt());
         return written;
     }
 
@@ -221,7 +228,7 @@
      * @param attempt the attempt
      */
     public void lost(Begin.Attempt attempt) {
-        own.remove(attempt.record().attempt());
+        running.remove(attempt.record().attempt());
     }
 
     /**
@@ -231,15 +238,17 @@
      */
     public void release(Begin.Attempt attempt) {
         String id = attempt.record().attempt();
-        own.put(id, AttemptStatus.NEVER_SENT);
+        neverSent.put(id, true);
+        running.remove(id);
         if (replace(attempt, attempt.record().released())) {
-            own.remove(id);
+            neverSent.remove(id);
         }
     }
 
     /** The write of an abandoned attempt may still take effect; peers that ask hear that nothing was sent. */
     private void abandon(OnceRecord record) {
-        own.put(record.attempt(), AttemptStatus.NEVER_SENT);
+        neverSent.put(record.attempt(), true);
+        running.remove(record.attempt());
     }
 
     private boolean replace(Begin.Attempt attempt, OnceRecord next) {
@@ -276,6 +285,17 @@
                 cause);
     }
 
+    /** Attempts that were given up before anything was sent; the oldest give way, and count as unknown then. */
+    private static final class Recent extends LinkedHashMap<String, Boolean> {
+        private static final long serialVersionUID = 1L;
+        private static final int MAX_ENTRIES = 100_000;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAX_ENTRIES;
+        }
+    }
+
     private static <T> T await(CompletableFuture<T> answer) {
         try {
             return answer.join();
--- a/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/GrantFaultMatrixTests.java
@@ -9,7 +9,6 @@
 import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.core.testing.FaultMatrix;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.function.BiPredicate;
@@ -49,18 +48,7 @@
     }
 
     static Stream<Arguments> cells() {
-        List<Arguments> cells = new ArrayList<>();
-        for (Step step : Step.values()) {
-            for (Fault first : Fault.values()) {
-                cells.add(Arguments.of(step, first, first));
-                for (Fault second : Fault.values()) {
-                    if (first != second) {
-                        cells.add(Arguments.of(step, first, second));
-                    }
-                }
-            }
-        }
-        return cells.stream();
+        return FaultMatrix.pairs(Step.values(), Fault.values());
     }
 
     @ParameterizedTest(name = "{0}: {1} and {2}")
--- a/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
@@ -6,7 +6,6 @@
 
 import dev.bluebellshunt.core.testing.FaultMatrix;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -52,15 +51,7 @@
     }
 
     static Stream<Arguments> cells() {
-        List<Arguments> cells = new ArrayList<>();
-        for (Step step : Step.values()) {
-            for (Fault first : Fault.values()) {
-                for (Fault second : Fault.values()) {
-                    cells.add(Arguments.of(step, first, second));
-                }
-            }
-        }
-        return cells.stream();
+        return FaultMatrix.pairs(Step.values(), Fault.values());
     }
 
     @ParameterizedTest(name = "{1} and {2} at {0}")
--- a/core/src/test/java/dev/bluebellshunt/core/testing/FaultMatrix.java
+++ b/core/src/test/java/dev/bluebellshunt/core/testing/FaultMatrix.java
@@ -7,8 +7,12 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.provider.Arguments;
 
 /** Keeps {@code docs/FAULT-MATRIX.md} and the tests that fill the matrix in step. */
 public final class FaultMatrix {
@@ -17,6 +21,25 @@
 
     private FaultMatrix() {}
 
+    /**
+     * Every fault at every step, alone and followed by every other fault.
+     *
+     * @param steps the steps
+     * @param faults the faults
+     * @return step, first fault and second fault; both are the same where a fault strikes alone
+     */
+    public static Stream<Arguments> pairs(Enum<?>[] steps, Enum<?>[] faults) {
+        List<Arguments> cells = new ArrayList<>();
+        for (Enum<?> step : steps) {
+            for (Enum<?> first : faults) {
+                for (Enum<?> second : faults) {
+                    cells.add(Arguments.of(step, first, second));
+                }
+            }
+        }
+        return cells.stream();
+    }
+
     /**
      * Checks that the document has a part's table, or writes it where the system property
      * {@code faultmatrix.write} is set.
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/OnceFaultMatrixTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/OnceFaultMatrixTests.java
@@ -15,8 +15,6 @@
 import dev.bluebellshunt.core.testing.FaultMatrix;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
@@ -58,15 +56,7 @@
     }
 
     static Stream<Arguments> cells() {
-        List<Arguments> cells = new ArrayList<>();
-        for (Step step : Step.values()) {
-            for (Fault first : Fault.values()) {
-                for (Fault second : Fault.values()) {
-                    cells.add(Arguments.of(step, first, second));
-                }
-            }
-        }
-        return cells.stream();
+        return FaultMatrix.pairs(Step.values(), Fault.values());
     }
 
     @ParameterizedTest(name = "{1} at {0}, then {2}")
--- a/standins/src/main/java/dev/bluebellshunt/standins/engine/StandInEngine.java
+++ b/standins/src/main/java/dev/bluebellshunt/standins/engine/StandInEngine.java
@@ -35,7 +35,6 @@
     private static final long IDLE_PARK_NANOS = 1_000_000;
     private static final int BYTES_OF_A_TOKEN = 64;
 
-    private final EngineSpec spec;
     private final EngineModel model;
     private final Object lock = new Object();
     private final Map<EngineJob, BlockingQueue<Token>> outputs = new ConcurrentHashMap<>();
@@ -57,7 +56,6 @@
      * @param weights the versions of its weights by model
      */
     public StandInEngine(String host, int port, EngineSpec spec, Map<String, String> weights) {
-        this.spec = spec;
         this.model = new EngineModel(spec);
         this.weights = new ConcurrentHashMap<>(weights);
         this.server = new StandInServer(host, port, new EngineHandler());
@@ -317,15 +315,6 @@
         }
     }
 
-    /**
-     * The speed and size of the engine.
-     *
-     * @return its spec
-     */
-    public EngineSpec spec() {
-        return spec;
-    }
-
     private record Status(String incarnation, boolean leaving, int runningRequests, long queuedTokens) {}
 
     private record Token(long number, boolean last, boolean crash) {
