Drop an unused lesson from answers, and the claim of it

Cause: the design note said that routers learn from the cached tokens which answers report; the selector took that figure and did not use it, and the means to forget an evicted block had no caller.

--- a/core/src/main/java/dev/bluebellshunt/core/routing/CostSelector.java
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/CostSelector.java
@@ -78,7 +78,7 @@
     }
 
     @Override
-    public void answered(TargetView target, PrefixChain chain, long cachedTokens) {
+    public void answered(TargetView target, PrefixChain chain) {
         knowledge.holds(target, chain, 1, chain.depth());
     }
 
--- a/core/src/main/java/dev/bluebellshunt/core/routing/PrefixKnowledge.java
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/PrefixKnowledge.java
@@ -59,19 +59,6 @@
         }
     }
 
-    /**
-     * Records that a target no longer holds some blocks of a prompt.
-     *
-     * @param target the target
-     * @param chain the prompt's chain
-     * @param from the number of the first block that is gone
-     */
-    public void lost(TargetView target, PrefixChain chain, int from) {
-        for (int block = from; block <= chain.depth(); block++) {
-            stripe(chain.hash(block)).remove(chain.hash(block), target.name());
-        }
-    }
-
     /**
      * Finds the targets that hold the most of a prompt.
      *
@@ -132,16 +119,5 @@
             }
             facts.put(hash, List.copyOf(next));
         }
-
-        private synchronized void remove(long hash, String target) {
-            List<Fact> known = facts.get(hash);
-            if (known != null) {
-                facts.put(
-                        hash,
-                        known.stream()
-                                .filter(fact -> !fact.target().equals(target))
-                                .toList());
-            }
-        }
     }
 }
--- a/core/src/main/java/dev/bluebellshunt/core/routing/TargetSelector.java
+++ b/core/src/main/java/dev/bluebellshunt/core/routing/TargetSelector.java
@@ -19,11 +19,10 @@
     Optional<Choice> select(HashRing candidates, PrefixChain chain, Set<String> excluded);
 
     /**
-     * Learns how much of a prompt a target had cached.
+     * Learns that a target has prefilled a prompt, and so holds its blocks.
      *
      * @param target the target that answered
      * @param chain the prompt's prefix chain
-     * @param cachedTokens tokens that it found in its cache
      */
-    default void answered(TargetView target, PrefixChain chain, long cachedTokens) {}
+    default void answered(TargetView target, PrefixChain chain) {}
 }
--- a/lab/src/main/java/dev/bluebellshunt/lab/experiment/Experiment.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/experiment/Experiment.java
@@ -172,7 +172,7 @@
         if (token == 1) {
             flight.begun = true;
             flight.view.cell().prefilled(flight.prefill);
-            routers.get(flight.router).selector.answered(flight.view, flight.chain, job.cachedTokens());
+            routers.get(flight.router).selector.answered(flight.view, flight.chain);
             if (flight.arrived > WARM_UP) {
                 measures.firstToken(
                         flight.workspace.name(),
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -278,9 +278,7 @@
     private void countCached(TargetView target, TargetAnswer answer) {
         long cached = answer.headers().getLongField(TargetHeaders.CACHED_TOKENS);
         support.metrics().tokens(workspace.name(), "cached", cached);
-        if (cached >= 0) {
-            support.selector().answered(target, chain, cached);
-        }
+        support.selector().answered(target, chain);
     }
 
     private @Nullable ShuntException takeStream(TargetView target, TargetAnswer answer) throws IOException {
