--- a/cli/src/main/java/dev/bluebellshunt/cli/StatusCommand.java
+++ b/cli/src/main/java/dev/bluebellshunt/cli/StatusCommand.java
@@ -1,7 +1,7 @@
 package dev.bluebellshunt.cli;
 
 import dev.bluebellshunt.core.close.Closer;
-import dev.bluebellshunt.router.HttpClients;
+import dev.bluebellshunt.transport.HttpClients;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
--- a/router/src/main/java/dev/bluebellshunt/router/control/ControlLoop.java
+++ b/core/src/main/java/dev/bluebellshunt/core/control/ControlLoop.java
@@ -1,7 +1,5 @@
-package dev.bluebellshunt.router.control;
+package dev.bluebellshunt.core.control;
 
-import dev.bluebellshunt.core.control.ControlExecutor;
-import dev.bluebellshunt.core.control.ControlSystem;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ErrorBody.java
+++ b/core/src/main/java/dev/bluebellshunt/core/error/ErrorBody.java
@@ -1,7 +1,6 @@
-package dev.bluebellshunt.router.proxy;
+package dev.bluebellshunt.core.error;
 
 import dev.bluebellshunt.core.codec.Json;
-import dev.bluebellshunt.core.error.ShuntException;
 import java.nio.charset.StandardCharsets;
 
 /** The JSON of an error, as callers see it. */
@@ -27,7 +26,7 @@
      * @param requestId the request's id
      * @return the event's bytes
      */
-    static byte[] event(ShuntException failure, String requestId) {
+    public static byte[] event(ShuntException failure, String requestId) {
         String event = "event: error\ndata: " + Json.write(envelope(failure, requestId)) + "\n\n";
         return event.getBytes(StandardCharsets.UTF_8);
     }
--- a/lab/src/main/java/dev/bluebellshunt/lab/demo/DemoCommand.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/demo/DemoCommand.java
@@ -10,7 +10,7 @@
 import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.core.model.FleetConfiguration;
 import dev.bluebellshunt.core.model.Workspace;
-import dev.bluebellshunt.router.HttpClients;
+import dev.bluebellshunt.transport.HttpClients;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -0,0 +1,233 @@
+package dev.bluebellshunt.relay;
+
+import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.control.ControlLoop;
+import dev.bluebellshunt.core.control.Every;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.fleet.FleetSystem;
+import dev.bluebellshunt.relay.limit.FleetLimits;
+import dev.bluebellshunt.relay.model.CallerLimits;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.proxy.HeaderCodec;
+import dev.bluebellshunt.relay.proxy.RelayContext;
+import dev.bluebellshunt.relay.proxy.RelayHandler;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.target.TargetChooser;
+import dev.bluebellshunt.relay.target.TargetDirectory;
+import dev.bluebellshunt.relay.target.TargetListSystem;
+import dev.bluebellshunt.relay.telemetry.DecisionLog;
+import dev.bluebellshunt.relay.telemetry.RelayMetrics;
+import dev.bluebellshunt.relay.weights.EngineControl;
+import dev.bluebellshunt.relay.weights.RolloutSystem;
+import dev.bluebellshunt.transport.DrainState;
+import dev.bluebellshunt.transport.HttpServers;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The process that relays requests: its systems, its servers, and its orderly end. */
+public final class RelayDaemon implements AutoCloseable {
+
+    /** How often the registered targets are read: a target that leaves must be known within two seconds. */
+    private static final Duration TARGET_INTERVAL = Duration.ofMillis(800);
+
+    /** How often the VMs exchange records; demand shifts between VMs within seconds. */
+    private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_500);
+
+    /** How often the idle time of connections and the gauges follow the configuration. */
+    private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
+
+    /** What a withdrawal may take beyond the age of the configuration: a watch that is late by a second. */
+    private static final Duration REVOCATION_MARGIN = Duration.ofMillis(1_100);
+
+    /** Kept back from the time for new weights, so that a request does not begin late at its engine. */
+    private static final Duration WEIGHTS_MARGIN = Duration.ofMillis(1_500);
+
+    /** Connections stay open a little longer than callers may leave them idle. */
+    private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
+
+    /** The balancer asks once a second and needs two refusals. */
+    private static final Duration BALANCER_TIME = Duration.ofMillis(2_500);
+
+    /** Kept back from the grace time for the end of the process itself. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+
+    private static final Duration STOP_POLL = Duration.ofMillis(50);
+    private static final Logger log = LoggerFactory.getLogger("relay");
+
+    private final RelaySettings settings;
+    private final MonotonicClock clock;
+    private final Closer closer = new Closer();
+    private final DrainState drain;
+    private final RelayContext context;
+    private final ServerConnector callers;
+    private Duration idleTimeout = CallerLimits.DEFAULT.idleTimeout();
+
+    /**
+     * Starts the process.
+     *
+     * @param settings what it is told
+     * @param store the store that all VMs share
+     * @param engines the way to the engines
+     * @param codec the names of headers
+     * @param http the client for targets
+     * @param clock a clock that counts the time in which the VM is suspended
+     */
+    public RelayDaemon(
+            RelaySettings settings,
+            SharedStore store,
+            EngineControl engines,
+            HeaderCodec codec,
+            HttpClient http,
+            MonotonicClock clock) {
+        this.settings = settings;
+        this.clock = clock;
+        RandomGenerator random = RandomGenerator.getDefault();
+        ControlLoop control = closer.add(new ControlLoop());
+        OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
+        TargetDirectory directory = new TargetDirectory(clock);
+        FleetLimits limits = new FleetLimits(clock, settings.retries());
+        this.drain = new DrainState(clock);
+        this.context = new RelayContext(
+                operators,
+                directory,
+                new TargetChooser(random),
+                limits,
+                codec,
+                http,
+                drain,
+                new DecisionLog(clock),
+                new RelayMetrics(),
+                clock,
+                settings.revocationTime().minus(REVOCATION_MARGIN),
+                settings.weightsTime().minus(WEIGHTS_MARGIN));
+        control.add(operators);
+        control.add(new TargetListSystem(store, directory, control, new Every(clock, random, TARGET_INTERVAL)));
+        control.add(new FleetSystem(
+                store,
+                operators,
+                limits,
+                control,
+                clock,
+                new Every(clock, random, FLEET_INTERVAL),
+                settings.vm(),
+                settings.failureDomain()));
+        control.add(new RolloutSystem(
+                store, engines, operators, directory, control, clock, settings.vm(), settings.turnTime()));
+        Every housekeeping = new Every(clock, random, HOUSEKEEPING);
+        control.add(() -> {
+            if (housekeeping.isDue()) {
+                keepHouse();
+            }
+        });
+        control.start();
+        HttpConfiguration callerHttp = HttpServers.configuration();
+        callerHttp.setUriCompliance(UriCompliance.UNSAFE);
+        callerHttp.setRequestHeaderSize(CallerLimits.DEFAULT.maxHeaderBytes());
+        this.callers = listen("callers", settings.callers(), callerHttp, new RelayHandler(context));
+        callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
+        listen("readiness", settings.readiness(), HttpServers.configuration(), new StateHandler(this::isReady));
+        if (settings.metrics() != null) {
+            listen("metrics", settings.metrics(), HttpServers.configuration(), new MetricsHandler(context));
+        }
+        log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
+    }
+
+    private ServerConnector listen(String name, InetSocketAddress address, HttpConfiguration http, Handler handler) {
+        return HttpServers.start(name, address, http, handler, new ErrorHandler(), closer);
+    }
+
+    private boolean isReady() {
+        return !drain.isDraining()
+                && context.isFresh()
+                && !context.directory().snapshot().byPool().isEmpty();
+    }
+
+    private void keepHouse() {
+        context.operators().configuration().ifPresent(this::follow);
+    }
+
+    private void follow(RelayConfiguration configuration) {
+        context.metrics()
+                .configuration(
+                        configuration.version(), context.operators().age().toMillis() / 1_000.0);
+        Duration wanted = configuration.limits().idleTimeout();
+        if (wanted.equals(idleTimeout)) {
+            return;
+        }
+        idleTimeout = wanted;
+        long millis = wanted.plus(IDLE_MARGIN).toMillis();
+        callers.setIdleTimeout(millis);
+        for (EndPoint endPoint : callers.getConnectedEndPoints()) {
+            endPoint.setIdleTimeout(millis);
+        }
+        log.info("Connections of callers may now stay idle for {} ms.", wanted.toMillis());
+    }
+
+    /** Stops taking callers, serves what still comes until it is quiet, and ends within the grace time. */
+    public void drain() {
+        Deadline end = Deadline.after(clock, settings.grace().minus(STOP_MARGIN));
+        Deadline balancerLooked = Deadline.after(clock, BALANCER_TIME);
+        drain.announce();
+        log.info("The VM stops: {} requests are open.", drain.open());
+        while (!end.hasPassed(clock) && !(balancerLooked.hasPassed(clock) && drain.isQuiet())) {
+            LockSupport.parkNanos(STOP_POLL.toNanos());
+        }
+        log.info("The VM has stopped: {} requests are open.", drain.open());
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    /** Tells the balancer whether this VM takes callers. */
+    private static final class StateHandler extends Handler.Abstract {
+        private final java.util.function.BooleanSupplier ready;
+
+        private StateHandler(java.util.function.BooleanSupplier ready) {
+            this.ready = ready;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            response.setStatus(ready.getAsBoolean() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
+            response.write(true, null, callback);
+            return true;
+        }
+    }
+
+    /** Serves the metrics as text. */
+    private static final class MetricsHandler extends Handler.Abstract {
+        private final RelayContext context;
+
+        private MetricsHandler(RelayContext context) {
+            this.context = context;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
+            response.write(true, ByteBuffer.wrap(context.metrics().text()), callback);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -0,0 +1,32 @@
+package dev.bluebellshunt.relay;
+
+import dev.bluebellshunt.relay.limit.FleetLimits;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a process is told at its start.
+ *
+ * @param vm the VM's name
+ * @param failureDomain where the VM runs
+ * @param callers where callers connect
+ * @param readiness where the balancer asks whether this VM takes callers
+ * @param metrics where metrics are served, or null
+ * @param retries bounds on retries over all VMs
+ * @param revocationTime within which a withdrawn key must stop working
+ * @param weightsTime within which requests must begin on newly named weights
+ * @param turnTime the least time between the orders of two holders
+ * @param grace how long the process may take to stop
+ */
+public record RelaySettings(
+        String vm,
+        String failureDomain,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        @Nullable InetSocketAddress metrics,
+        FleetLimits.RetryBounds retries,
+        Duration revocationTime,
+        Duration weightsTime,
+        Duration turnTime,
+        Duration grace) {}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -0,0 +1,150 @@
+package dev.bluebellshunt.relay.fleet;
+
+import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.core.control.ControlExecutor;
+import dev.bluebellshunt.core.control.ControlSystem;
+import dev.bluebellshunt.core.control.Every;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.limit.FleetLimits;
+import dev.bluebellshunt.relay.store.LeaseLostException;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.SharedItem;
+import dev.bluebellshunt.relay.store.SharedStore;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Publishes what this VM is and needs, reads what the others published, and sizes this VM's parts of
+ * the limits by it. While the store is away the last parts stay in force.
+ */
+public final class FleetSystem implements ControlSystem {
+
+    /** How keys of these records begin. */
+    static final String PREFIX = "bluebellshunt/vms/";
+
+    /** How long a VM counts after its last renewal; its part of each limit is kept for it until then. */
+    static final Duration LEASE = Duration.ofSeconds(8);
+
+    /** How much of the newest measurement goes into the published demand. */
+    static final double SMOOTHING = 0.4;
+
+    private static final Logger log = LoggerFactory.getLogger("fleet");
+
+    private final SharedStore store;
+    private final OperatorStateSystem operators;
+    private final FleetLimits limits;
+    private final ControlExecutor control;
+    private final MonotonicClock clock;
+    private final Every interval;
+    private final String vm;
+    private final String failureDomain;
+    private final Map<String, Double> demand = new HashMap<>();
+    private long lease = SharedStore.NO_LEASE;
+    private long measuredNanos;
+    private boolean calling;
+
+    /**
+     * Creates a system that publishes at its first tick.
+     *
+     * @param store the store
+     * @param operators knows the limits
+     * @param limits takes this VM's parts
+     * @param control the control thread
+     * @param clock the clock to read
+     * @param interval how often to publish and read
+     * @param vm this VM's name
+     * @param failureDomain where it runs
+     */
+    public FleetSystem(
+            SharedStore store,
+            OperatorStateSystem operators,
+            FleetLimits limits,
+            ControlExecutor control,
+            MonotonicClock clock,
+            Every interval,
+            String vm,
+            String failureDomain) {
+        this.store = store;
+        this.operators = operators;
+        this.limits = limits;
+        this.control = control;
+        this.clock = clock;
+        this.interval = interval;
+        this.vm = vm;
+        this.failureDomain = failureDomain;
+        this.measuredNanos = clock.nanos();
+    }
+
+    @Override
+    public void tick() {
+        if (calling || !interval.isDue()) {
+            return;
+        }
+        calling = true;
+        measure();
+        VmRecord own = new VmRecord(vm, failureDomain, Map.copyOf(demand));
+        CompletableFuture<Exchanged> exchange = openLease()
+                .thenCompose(open ->
+                        store.putRecord(PREFIX + vm, Json.write(own), open).thenApply(done -> open))
+                .thenCompose(open -> store.readRecords(PREFIX).thenApply(items -> new Exchanged(open, items)));
+        control.await(exchange, done -> take(done, own), this::failed);
+    }
+
+    private CompletableFuture<Long> openLease() {
+        if (lease == SharedStore.NO_LEASE) {
+            return store.openLease(LEASE);
+        }
+        long open = lease;
+        return store.renewLease(open).thenApply(done -> open).exceptionallyCompose(failure -> {
+            Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+            return cause instanceof LeaseLostException ? store.openLease(LEASE) : CompletableFuture.failedFuture(cause);
+        });
+    }
+
+    private void measure() {
+        long now = clock.nanos();
+        double seconds = (double) (now - measuredNanos) / TimeUnit.SECONDS.toNanos(1);
+        measuredNanos = now;
+        if (seconds <= 0) {
+            return;
+        }
+        limits.takeAdmitted()
+                .forEach((workspace, units) -> demand.merge(
+                        workspace, units / seconds, (before, next) -> before + SMOOTHING * (next - before)));
+    }
+
+    private void take(Exchanged done, VmRecord own) {
+        calling = false;
+        lease = done.lease();
+        Map<String, Double> total = new HashMap<>();
+        int vms = 0;
+        for (SharedItem item : done.records()) {
+            VmRecord other;
+            try {
+                other = Json.read(item.value(), VmRecord.class);
+            } catch (IllegalArgumentException e) {
+                log.warn("The record {} can't be read: {}", item.key(), e.getMessage());
+                continue;
+            }
+            vms++;
+            other.demand().forEach((workspace, units) -> total.merge(workspace, units, Double::sum));
+        }
+        int live = vms;
+        operators.configuration().ifPresent(known -> limits.resize(known, own.demand(), total, live));
+    }
+
+    private void failed(Throwable failure) {
+        calling = false;
+        lease = SharedStore.NO_LEASE;
+        log.debug("The VMs' records could not be exchanged: {}", failure.toString());
+    }
+
+    /** What came of one exchange: the lease that keeps this VM's record, and all records. */
+    private record Exchanged(long lease, List<SharedItem> records) {}
+}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/package-info.java
@@ -0,0 +1,5 @@
+/** Limits that hold over all VMs: workspace rates and retries. */
+@NullMarked
+package dev.bluebellshunt.relay.limit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/AnswerMarks.java
@@ -0,0 +1,13 @@
+package dev.bluebellshunt.relay.proxy;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the head of a target's answer says.
+ *
+ * @param requestId the request that it answers, or null where it does not say
+ * @param sealed whether it bears the target's signature
+ * @param notRun whether the target states that it did not run the request
+ * @param otherTarget whether another target than the expected one has the address, or its weights differ
+ */
+public record AnswerMarks(@Nullable String requestId, boolean sealed, boolean notRun, boolean otherTarget) {}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -0,0 +1,580 @@
+package dev.bluebellshunt.relay.proxy;
+
+import dev.bluebellshunt.core.error.ErrorCode;
+import dev.bluebellshunt.core.error.Outcome;
+import dev.bluebellshunt.core.error.ShuntException;
+import dev.bluebellshunt.core.error.Step;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.relay.model.PoolSpec;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.model.RelayRoute;
+import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.model.RouteKind;
+import dev.bluebellshunt.relay.target.LiveTarget;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Blocker;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request on its way: checked, charged, sent to targets until one answers, and its answer passed on.
+ *
+ * <p>Served by one thread; {@link #callerGone()} may come from another.
+ */
+final class RelayCall {
+
+    /** Answers of plain services up to this size are read whole before the first byte goes out. */
+    private static final int BUFFERED_ANSWER_BYTES = 256 * 1024;
+
+    private static final int READ_BYTES = 8 * 1024;
+
+    /** When to come back while this VM waits for its configuration, or has lost touch with the store. */
+    private static final Duration STALE_RETRY = Duration.ofMillis(300);
+
+    /** When to come back while no target takes requests: about what an engine needs to load weights. */
+    private static final Duration NO_TARGET_RETRY = Duration.ofMillis(400);
+
+    /** How long an engine that took no request is left alone: about a running request's last steps. */
+    private static final Duration FULL_PAUSE = Duration.ofMillis(150);
+
+    /** Sends that a target certainly did not run, beyond which the request is refused. */
+    private static final int MAX_REFUSED_SENDS = 3;
+
+    private static final int STATUS_TIMEOUT = 408;
+    private static final int STATUS_MISDIRECTED = 421;
+    private static final int STATUS_TOO_MANY = 429;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final int STATUS_ERROR = 500;
+
+    /** An urgency between the targets' most urgent, 0, and their default, 5, for the first rank. */
+    private static final int FIRST_URGENCY = 3;
+
+    private static final int URGENCY_STEP = 2;
+    private static final int LAST_URGENCY = 9;
+
+    private final RelayContext context;
+    private final Request request;
+    private final Response response;
+    private final long arrivedNanos;
+    private final Set<String> tried = new HashSet<>();
+
+    private CallerMarks marks = new CallerMarks(null, null, null, null, 0, 0, false, List.of());
+    private @Nullable RelayRoute route;
+    private @Nullable RelayWorkspace workspace;
+    private @Nullable PoolSpec pool;
+    private @Nullable OutgoingRequest outgoing;
+    private Deadline deadline;
+    private double charged;
+    private boolean bodyRead;
+    private int ran;
+    private int refusedSends;
+    private boolean retryGranted;
+    private String result = "ok";
+    private String lastTarget = "none";
+    private String lastFailure = "none";
+    private byte[] ending = new byte[0];
+    private @Nullable TargetExchange exchange;
+    private boolean callerGone;
+
+    RelayCall(RelayContext context, Request request, Response response, long arrivedNanos) {
+        this.context = context;
+        this.request = request;
+        this.response = response;
+        this.arrivedNanos = arrivedNanos;
+        this.deadline = new Deadline(arrivedNanos);
+    }
+
+    String requestId() {
+        String id = marks.requestId();
+        return id == null ? "none" : id;
+    }
+
+    boolean isBodyRead() {
+        return bodyRead;
+    }
+
+    void result(String text) {
+        result = text;
+    }
+
+    /** Stops the work of the target, since nobody waits for it. */
+    void callerGone() {
+        TargetExchange running;
+        synchronized (this) {
+            callerGone = true;
+            running = exchange;
+        }
+        if (running != null) {
+            running.abort(new CancellationException("the caller has left"));
+        }
+    }
+
+    synchronized boolean isCallerGone() {
+        return callerGone;
+    }
+
+    private synchronized void running(@Nullable TargetExchange next) throws IOException {
+        exchange = next;
+        if (next != null && callerGone) {
+            throw new IOException("the caller has left");
+        }
+    }
+
+    /** Reads the request and checks that it may be served. */
+    void prepare() throws IOException {
+        marks = context.codec().readCaller(request.getHeaders());
+        RelayConfiguration configuration = context.operators()
+                .configuration()
+                .orElseThrow(() -> ShuntException.notRun(
+                        ErrorCode.NOT_CONFIGURED,
+                        Step.CONFIGURE,
+                        "This router has not received a configuration yet.",
+                        STALE_RETRY));
+        RelayRoute found = configuration
+                .route(host(), Request.getPathInContext(request))
+                .orElseThrow(() ->
+                        refusedUnlessStale(ErrorCode.UNKNOWN_ROUTE, Step.ROUTE, "No route serves this host and path."));
+        route = found;
+        authenticate(configuration, found);
+        if (marks.requestId() == null) {
+            throw ShuntException.notRun(ErrorCode.MALFORMED_REQUEST, Step.PARSE, "The request has no id.");
+        }
+        Duration patience = marks.patience();
+        Deadline routeEnd = new Deadline(arrivedNanos + found.timeout().toNanos());
+        deadline = patience == null ? routeEnd : routeEnd.earlier(new Deadline(arrivedNanos + patience.toNanos()));
+        outgoing = new OutgoingRequest(
+                request.getMethod(),
+                request.getHttpURI().getPathQuery(),
+                readBody(configuration.limits().maxBodyBytes()));
+        bodyRead = true;
+        pool = choosePool(configuration, found);
+        charge();
+    }
+
+    private String host() {
+        String authority = request.getHeaders().get(HttpHeader.HOST);
+        if (authority == null) {
+            return "";
+        }
+        int colon = authority.lastIndexOf(':');
+        return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+
+    /** A refusal that depends on the configuration; while that may be outdated, the caller is asked to come back. */
+    private ShuntException refusedUnlessStale(ErrorCode code, Step step, String message) {
+        return context.isFresh() ? ShuntException.notRun(code, step, message) : stale();
+    }
+
+    private static ShuntException stale() {
+        return ShuntException.notRun(
+                ErrorCode.CONFIGURATION_STALE,
+                Step.AUTHENTICATE,
+                "This router is cut off and can't tell whether keys are still valid.",
+                STALE_RETRY);
+    }
+
+    private void authenticate(RelayConfiguration configuration, RelayRoute found) {
+        if (found.anonymous() || configuration.workspaces().isEmpty()) {
+            return;
+        }
+        if (!context.isFresh()) {
+            throw stale();
+        }
+        String key = marks.key();
+        if (key == null) {
+            throw ShuntException.notRun(ErrorCode.MISSING_KEY, Step.AUTHENTICATE, "The request has no key.");
+        }
+        workspace = configuration
+                .workspaceOfKey(key)
+                .orElseThrow(
+                        () -> ShuntException.notRun(ErrorCode.INVALID_KEY, Step.AUTHENTICATE, "The key is unknown."));
+    }
+
+    private byte[] readBody(int maxBytes) throws IOException {
+        if (request.getLength() > maxBytes) {
+            throw tooLarge(maxBytes);
+        }
+        try (InputStream input = Content.Source.asInputStream(request)) {
+            byte[] body = input.readNBytes(maxBytes + 1);
+            if (body.length > maxBytes) {
+                throw tooLarge(maxBytes);
+            }
+            return body;
+        }
+    }
+
+    private static ShuntException tooLarge(int maxBytes) {
+        return ShuntException.notRun(
+                ErrorCode.BODY_TOO_LARGE, Step.PARSE, "The body is larger than " + maxBytes + " bytes.");
+    }
+
+    /** Splits a route's requests by weight; the same request id always falls to the same pool. */
+    private PoolSpec choosePool(RelayConfiguration configuration, RelayRoute found) {
+        int total = 0;
+        for (RelayRoute.PoolShare share : found.pools()) {
+            total += share.weight();
+        }
+        int point = total <= 0 ? 0 : Math.floorMod(requestId().hashCode(), total);
+        for (RelayRoute.PoolShare share : found.pools()) {
+            point -= share.weight();
+            if (point < 0 || total <= 0) {
+                return configuration.pool(share.pool()).orElse(new PoolSpec(share.pool(), 0, null));
+            }
+        }
+        throw ShuntException.notRun(ErrorCode.NO_TARGET, Step.ROUTE, "The route names no pool.", NO_TARGET_RETRY);
+    }
+
+    private void charge() {
+        RelayWorkspace payer = workspace;
+        if (payer == null) {
+            return;
+        }
+        double cost = !payer.countsTokens() ? 1 : marks.hasTokenCount() ? marks.tokens() : payer.defaultTokens();
+        Duration wait = context.limits().admit(payer, cost);
+        if (!wait.isZero()) {
+            throw ShuntException.notRun(ErrorCode.RATE_LIMITED, Step.LIMIT, "The workspace is over its limit.", wait);
+        }
+        charged = cost;
+    }
+
+    private void refund() {
+        RelayWorkspace payer = workspace;
+        if (payer != null && charged > 0) {
+            context.limits().refund(payer, charged);
+            charged = 0;
+        }
+    }
+
+    private static <T> T prepared(@Nullable T value) {
+        if (value == null) {
+            throw new IllegalStateException("the request has not been prepared");
+        }
+        return value;
+    }
+
+    /** Sends the request until a target answers it, and passes the answer on. */
+    void run() throws IOException {
+        RelayRoute found = prepared(route);
+        PoolSpec chosen = prepared(pool);
+        context.limits().requested(chosen.name());
+        while (true) {
+            if (isCallerGone()) {
+                throw new IOException("the caller has left");
+            }
+            if (deadline.hasPassed(context.clock())) {
+                throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The request's time is over.");
+            }
+            Optional<LiveTarget> target = context.chooser()
+                    .choose(context.directory().snapshot().pool(chosen.name()), tried, marks.sharedPart());
+            if (target.isEmpty()) {
+                throw gaveUp(ErrorCode.NO_TARGET, "No target of the pool takes requests.");
+            }
+            boolean first = ran + refusedSends == 0;
+            if (!first && !retryGranted && !context.limits().tryRetry(chosen.name())) {
+                throw gaveUp(ErrorCode.OVERLOADED, "The pool has had its share of retries.");
+            }
+            retryGranted = false;
+            if (attempt(target.get(), found)) {
+                return;
+            }
+            boolean mayTryAgain =
+                    ran == 0 ? refusedSends < MAX_REFUSED_SENDS : found.isRepeatable() && ran < found.maxAttempts();
+            if (!mayTryAgain) {
+                throw gaveUp(ErrorCode.TARGET_FAILED, "The target " + lastTarget + " failed: " + lastFailure + ".");
+            }
+        }
+    }
+
+    /** The error for a request that no target has answered, which tells whether one may have run it. */
+    private ShuntException gaveUp(ErrorCode code, String message) {
+        if (ran == 0) {
+            refund();
+            ErrorCode refusal = code == ErrorCode.TARGET_FAILED || code == ErrorCode.DEADLINE_EXCEEDED
+                    ? ErrorCode.OVERLOADED
+                    : code;
+            return ShuntException.notRun(refusal, Step.FORWARD, message, NO_TARGET_RETRY);
+        }
+        ErrorCode failure = code == ErrorCode.DEADLINE_EXCEEDED ? code : ErrorCode.TARGET_FAILED;
+        return new ShuntException(failure, Step.FORWARD, lastTarget, Outcome.UNKNOWN, message);
+    }
+
+    /** Sends the request to a target; false where another may be tried, as far as the route allows it. */
+    private boolean attempt(LiveTarget target, RelayRoute found) throws IOException {
+        long tokens = Math.max(1, marks.tokens());
+        tried.add(target.entry().id());
+        lastTarget = target.entry().id();
+        target.load().opened(tokens);
+        Duration limit = deadline.remaining(context.clock());
+        try (TargetExchange sent = new TargetExchange(
+                context.http(), target.entry(), prepared(outgoing), targetHeaders(target, found, limit), limit)) {
+            running(sent);
+            return answered(target, found, sent);
+        } finally {
+            target.load().closed(tokens);
+            running(null);
+        }
+    }
+
+    private HttpFields targetHeaders(LiveTarget target, RelayRoute found, Duration limit) {
+        boolean hideKey = workspace != null || !found.anonymous();
+        HttpFields.Mutable headers = ForwardedHeaders.copy(
+                request.getHeaders(),
+                name -> context.codec().isReserved(name)
+                        || "content-length".equals(name)
+                        || (hideKey && "authorization".equals(name)));
+        RelayWorkspace payer = workspace;
+        boolean engine = marks.model() != null;
+        String domain = payer != null && payer.dedicated() ? "w:" + payer.name() : "shared";
+        context.codec()
+                .writeTarget(
+                        headers,
+                        new TargetMarks(
+                                target.entry().id(),
+                                null,
+                                payer == null ? null : payer.name(),
+                                engine ? domain : null,
+                                engine ? urgency(found) : null,
+                                limit));
+        return headers;
+    }
+
+    private int urgency(RelayRoute found) {
+        RelayWorkspace payer = workspace;
+        int rank =
+                payer != null && payer.priority() != RelayWorkspace.NO_PRIORITY ? payer.priority() : found.priority();
+        return Math.min(LAST_URGENCY, FIRST_URGENCY + URGENCY_STEP * Math.max(0, rank));
+    }
+
+    private boolean answered(LiveTarget target, RelayRoute found, TargetExchange sent) throws IOException {
+        org.eclipse.jetty.client.Response head;
+        try {
+            head = sent.head();
+        } catch (TargetExchange.TargetFailure e) {
+            failedAttempt(target, e);
+            return false;
+        }
+        target.load().heard();
+        AnswerMarks answer = context.codec().readAnswer(head.getStatus(), head.getHeaders());
+        if (answer.notRun() || answer.otherTarget()) {
+            refusedSends++;
+            attemptFailed(answer.otherTarget() ? "other_target" : "not_run", "status " + head.getStatus());
+            target.load().full(FULL_PAUSE);
+            return false;
+        }
+        ran++;
+        boolean crossed = answer.requestId() != null && !answer.requestId().equals(requestId());
+        boolean unsigned = head.getStatus() < STATUS_ERROR - 100 && !answer.sealed();
+        if (crossed || unsigned) {
+            attemptFailed("bad_answer", crossed ? "it answers another request" : "it is not signed");
+            target.load().failed();
+            return false;
+        }
+        if (head.getStatus() >= STATUS_ERROR) {
+            target.load().failed();
+            if (found.kind() == RouteKind.IDEMPOTENT
+                    && ran < found.maxAttempts()
+                    && context.limits().tryRetry(prepared(pool).name())) {
+                retryGranted = true;
+                attemptFailed("error", "status " + head.getStatus());
+                return false;
+            }
+        }
+        return passOn(target, found, sent, head);
+    }
+
+    private void failedAttempt(LiveTarget target, TargetExchange.TargetFailure failure) throws IOException {
+        if (isCallerGone()) {
+            throw new IOException("the caller has left", failure);
+        }
+        if (failure.isSent()) {
+            ran++;
+        } else {
+            refusedSends++;
+        }
+        attemptFailed(
+                failure.isTimeout() ? "timeout" : failure.isSent() ? "unknown" : "not_connected",
+                String.valueOf(failure.getMessage()));
+        target.load().failed();
+        if (failure.isTimeout() && deadline.hasPassed(context.clock())) {
+            throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The target " + lastTarget + " did not answer in time.");
+        }
+    }
+
+    private void attemptFailed(String kind, String reason) {
+        lastFailure = reason;
+        context.metrics().attempt(kind);
+        context.decisions()
+                .write(
+                        "attempt_" + kind,
+                        requestId(),
+                        "target",
+                        lastTarget,
+                        "reason",
+                        reason,
+                        "ms",
+                        elapsedMillis(),
+                        "configuration_age_ms",
+                        context.operators().age().toMillis());
+    }
+
+    private boolean passOn(
+            LiveTarget target, RelayRoute found, TargetExchange sent, org.eclipse.jetty.client.Response head)
+            throws IOException {
+        InputStream body = sent.body();
+        byte[] buffer = new byte[READ_BYTES];
+        byte[] first;
+        try {
+            first = found.kind() == RouteKind.STREAM
+                    ? firstChunk(body, buffer)
+                    : body.readNBytes(BUFFERED_ANSWER_BYTES);
+        } catch (IOException e) {
+            bodyFailed(target, e);
+            return false;
+        }
+        begin(head);
+        if (first.length < BUFFERED_ANSWER_BYTES && found.kind() != RouteKind.STREAM) {
+            ending = first;
+        } else {
+            copy(first, body, buffer, target);
+        }
+        target.load().succeeded();
+        context.metrics().attempt("ok");
+        return true;
+    }
+
+    private static byte[] firstChunk(InputStream body, byte[] buffer) throws IOException {
+        int read = body.read(buffer);
+        return read < 0 ? new byte[0] : java.util.Arrays.copyOf(buffer, read);
+    }
+
+    private void bodyFailed(LiveTarget target, IOException failure) throws IOException {
+        if (isCallerGone()) {
+            throw failure;
+        }
+        attemptFailed("broken", String.valueOf(failure.getMessage()));
+        target.load().failed();
+        if (TargetExchange.isTimeout(failure)) {
+            throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The target " + lastTarget + " did not end its answer in time.");
+        }
+    }
+
+    private void begin(org.eclipse.jetty.client.Response head) {
+        int status = head.getStatus();
+        boolean promises = status == STATUS_TIMEOUT
+                || status == STATUS_MISDIRECTED
+                || status == STATUS_TOO_MANY
+                || status == STATUS_UNAVAILABLE;
+        if (promises) {
+            throw new ShuntException(
+                    ErrorCode.TARGET_FAILED,
+                    Step.FORWARD,
+                    lastTarget,
+                    Outcome.UNKNOWN,
+                    "The target answered with status " + status + " but may have run the request.");
+        }
+        HttpFields.Mutable headers = ForwardedHeaders.copy(head.getHeaders(), name -> false);
+        response.setStatus(status);
+        headers.forEach(field -> response.getHeaders().add(field));
+        context.metrics()
+                .firstByte(
+                        prepared(route).kind().name().toLowerCase(Locale.ROOT),
+                        (double) (context.clock().nanos() - arrivedNanos) / TimeUnit.SECONDS.toNanos(1));
+        if (status >= STATUS_ERROR) {
+            result = "target_error";
+        }
+    }
+
+    /** Passes pieces on as they come. A failure leaves the response unfinished, so that the caller sees the break. */
+    private void copy(byte[] first, InputStream body, byte[] buffer, LiveTarget target) throws IOException {
+        write(ByteBuffer.wrap(first));
+        while (true) {
+            int read;
+            try {
+                read = body.read(buffer);
+            } catch (IOException e) {
+                lastFailure = String.valueOf(e.getMessage());
+                if (!isCallerGone()) {
+                    target.load().failed();
+                    context.decisions()
+                            .write(
+                                    "stream_broken",
+                                    requestId(),
+                                    "target",
+                                    lastTarget,
+                                    "reason",
+                                    lastFailure,
+                                    "ms",
+                                    elapsedMillis());
+                }
+                throw e;
+            }
+            if (read < 0) {
+                return;
+            }
+            target.load().heard();
+            write(ByteBuffer.wrap(buffer, 0, read));
+        }
+    }
+
+    private void write(ByteBuffer bytes) throws IOException {
+        try (Blocker.Callback blocker = Blocker.callback()) {
+            response.write(false, bytes, blocker);
+            blocker.block();
+        }
+    }
+
+    /** Writes what is left of the answer and completes it. */
+    void writeEnd(Response to, Callback callback) {
+        to.write(true, ByteBuffer.wrap(ending), callback);
+    }
+
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - arrivedNanos);
+    }
+
+    /** Counts and logs how the request ended. */
+    void report() {
+        RelayRoute found = route;
+        String kind = found == null ? "none" : found.kind().name().toLowerCase(Locale.ROOT);
+        context.metrics().request(kind, result);
+        if ("ok".equals(result)) {
+            return;
+        }
+        context.decisions()
+                .write(
+                        "ended_" + result,
+                        requestId(),
+                        "route",
+                        found == null ? "none" : found.name(),
+                        "target",
+                        lastTarget,
+                        "reason",
+                        lastFailure,
+                        "ran",
+                        ran,
+                        "ms",
+                        elapsedMillis(),
+                        "configuration",
+                        context.operators()
+                                .configuration()
+                                .map(RelayConfiguration::version)
+                                .orElse(-1L),
+                        "configuration_age_ms",
+                        context.operators().age().toMillis());
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetMarks.java
@@ -0,0 +1,22 @@
+package dev.bluebellshunt.relay.proxy;
+
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a target's request says beside the caller's own headers.
+ *
+ * @param targetId the only target that may run the request
+ * @param weights the only version of the weights under which it may run, or null for any
+ * @param workspace the workspace that it is charged to, or null
+ * @param cacheDomain requests of the same domain may share cached prompts; null for plain services
+ * @param urgency from 0, most urgent, to 9; null for the target's default
+ * @param patience how long the answer is worth waiting for
+ */
+public record TargetMarks(
+        String targetId,
+        @Nullable Long weights,
+        @Nullable String workspace,
+        @Nullable String cacheDomain,
+        @Nullable Integer urgency,
+        Duration patience) {}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
@@ -0,0 +1,109 @@
+package dev.bluebellshunt.relay.target;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses a target of a pool.
+ *
+ * <p>Requests that share a prompt prefix go to the target that rendezvous hashing names first, so that
+ * all VMs send them to the same one without a message; a target that has clearly more under way than the
+ * others passes them on to the next. Plain requests go to the target with the least under way.
+ */
+public final class TargetChooser {
+
+    /** How far above the mean load a target may be and still get the requests of its prefixes. */
+    static final double LOAD_BOUND = 1.5;
+
+    /** Requests above the mean that don't count as overload, so that light load keeps its affinity. */
+    static final int FREE_REQUESTS = 4;
+
+    private final RandomGenerator random;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param random breaks ties
+     */
+    public TargetChooser(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param targets the pool's targets
+     * @param tried targets that the request has been sent to
+     * @param affinity what requests of the same target share, or null
+     * @return the target, or empty where none takes requests
+     */
+    public Optional<LiveTarget> choose(List<LiveTarget> targets, Set<String> tried, @Nullable String affinity) {
+        List<LiveTarget> candidates = usable(targets, tried, true);
+        if (candidates.isEmpty()) {
+            candidates = usable(targets, tried, false);
+        }
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(affinity == null ? leastLoaded(candidates) : nearest(candidates, affinity));
+    }
+
+    private static List<LiveTarget> usable(List<LiveTarget> targets, Set<String> tried, boolean healthy) {
+        List<LiveTarget> usable = new ArrayList<>(targets.size());
+        for (LiveTarget target : targets) {
+            if (target.entry().leaving() || tried.contains(target.entry().id())) {
+                continue;
+            }
+            if (!healthy || target.load().isUsable()) {
+                usable.add(target);
+            }
+        }
+        return usable;
+    }
+
+    private LiveTarget leastLoaded(List<LiveTarget> candidates) {
+        int start = random.nextInt(candidates.size());
+        LiveTarget best = candidates.get(start);
+        for (int i = 1; i < candidates.size(); i++) {
+            LiveTarget next = candidates.get((start + i) % candidates.size());
+            if (next.load().open() < best.load().open()) {
+                best = next;
+            }
+        }
+        return best;
+    }
+
+    private LiveTarget nearest(List<LiveTarget> candidates, String affinity) {
+        double total = 0;
+        for (LiveTarget target : candidates) {
+            total += target.load().open();
+        }
+        double bound = total / candidates.size() * LOAD_BOUND + FREE_REQUESTS;
+        LiveTarget best = null;
+        long bestScore = 0;
+        for (LiveTarget target : candidates) {
+            if (target.load().open() > bound) {
+                continue;
+            }
+            long score = score(affinity, target.entry().id());
+            if (best == null || score < bestScore) {
+                best = target;
+                bestScore = score;
+            }
+        }
+        return best == null ? leastLoaded(candidates) : best;
+    }
+
+    private static long score(String affinity, String target) {
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putString(affinity)
+                .putString(target)
+                .getAsLong();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -0,0 +1,239 @@
+package dev.bluebellshunt.relay.weights;
+
+import dev.bluebellshunt.core.control.ControlExecutor;
+import dev.bluebellshunt.core.control.ControlSystem;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.target.LiveTarget;
+import dev.bluebellshunt.relay.target.TargetDirectory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings all engines to the weights that operators name, a few at a time.
+ *
+ * <p>One VM does it, under a {@link HolderLease}. What an engine runs is read from the engine itself
+ * before each order, and the order names the count of orders that the engine then had, so that an
+ * order which comes late or twice is not taken. Nothing needs to be stored: a successor reads the same.
+ */
+public final class RolloutSystem implements ControlSystem {
+
+    /** Engines load in parallel up to this part of a pool; beyond it, each load takes longer. */
+    static final double PARALLEL_PART = 1 / 3.5;
+
+    /** The least number of engines that load in parallel. */
+    static final int MIN_PARALLEL = 2;
+
+    /** How often an engine that loads is asked whether it is done. */
+    static final Duration POLL = Duration.ofMillis(250);
+
+    /** Pause before an engine that gave no answer is asked again. */
+    static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(600);
+
+    /** After this time a load no longer counts against the parallel ones: its engine hangs. */
+    static final Duration LOAD_LIMIT = Duration.ofSeconds(4);
+
+    /** Pause between two tries to become the holder while there is work. */
+    static final Duration TAKE_PAUSE = Duration.ofMillis(700);
+
+    private static final Logger log = LoggerFactory.getLogger("weights");
+
+    private final EngineControl engines;
+    private final OperatorStateSystem operators;
+    private final TargetDirectory directory;
+    private final ControlExecutor control;
+    private final MonotonicClock clock;
+    private final String vm;
+    private final HolderLease lease;
+    private final Map<TargetEntry.Incarnation, Progress> progress = new HashMap<>();
+    private boolean everTried;
+
+    /**
+     * Creates a system.
+     *
+     * @param store holds the lease
+     * @param engines the way to the engines
+     * @param operators knows the weights that are named
+     * @param directory knows the engines
+     * @param control the control thread
+     * @param clock a clock that counts the time in which the VM is suspended
+     * @param vm this VM's name
+     * @param turnTime the least time between the orders of two holders
+     */
+    public RolloutSystem(
+            SharedStore store,
+            EngineControl engines,
+            OperatorStateSystem operators,
+            TargetDirectory directory,
+            ControlExecutor control,
+            MonotonicClock clock,
+            String vm,
+            Duration turnTime) {
+        this.engines = engines;
+        this.operators = operators;
+        this.directory = directory;
+        this.control = control;
+        this.clock = clock;
+        this.vm = vm;
+        this.lease = new HolderLease(store, control, clock, vm, turnTime);
+    }
+
+    @Override
+    public void tick() {
+        List<Outdated> outdated = outdated();
+        if (lease.isHeld() || !outdated.isEmpty() || !everTried) {
+            everTried = true;
+            lease.keep(TAKE_PAUSE);
+        }
+        if (lease.mayOrder()) {
+            advance(outdated);
+        }
+    }
+
+    private List<Outdated> outdated() {
+        List<Outdated> outdated = new ArrayList<>();
+        Map<String, OperatorStateSystem.NamedWeights> named = operators.weights();
+        if (named.isEmpty()) {
+            return outdated;
+        }
+        for (List<LiveTarget> pool : directory.snapshot().byPool().values()) {
+            for (LiveTarget target : pool) {
+                target.entry().weights().forEach((model, version) -> {
+                    OperatorStateSystem.NamedWeights newest = named.get(model);
+                    if (newest != null
+                            && version < newest.version()
+                            && !target.entry().leaving()) {
+                        outdated.add(new Outdated(target, model, newest.version(), pool.size()));
+                    }
+                });
+            }
+        }
+        return outdated;
+    }
+
+    private void advance(List<Outdated> outdated) {
+        progress.keySet()
+                .retainAll(outdated.stream()
+                        .map(o -> o.target().entry().incarnation())
+                        .toList());
+        int loading = 0;
+        for (Progress state : progress.values()) {
+            loading += state.occupies(clock) ? 1 : 0;
+        }
+        for (Outdated engine : outdated) {
+            int parallel = Math.max(MIN_PARALLEL, (int) (engine.poolSize() * PARALLEL_PART));
+            Progress state = progress.computeIfAbsent(engine.target().entry().incarnation(), i -> new Progress(clock));
+            if (state.isDone(engine.version()) || state.calling || !state.nextCall.hasPassed(clock)) {
+                continue;
+            }
+            if (!state.occupies(clock)) {
+                if (loading >= parallel) {
+                    continue;
+                }
+                loading++;
+                state.begin(clock);
+            }
+            ask(engine, state);
+        }
+    }
+
+    private void ask(Outdated engine, Progress state) {
+        state.calling = true;
+        TargetEntry entry = engine.target().entry();
+        control.await(
+                engines.report(entry),
+                report -> {
+                    state.calling = false;
+                    long version = report.weights().getOrDefault(engine.model(), 0L);
+                    if (version >= engine.version()) {
+                        state.done(version);
+                    } else if (report.busy() || !lease.mayOrder()) {
+                        state.nextCall = Deadline.after(clock, POLL);
+                    } else {
+                        order(engine, state, report.sequence());
+                    }
+                },
+                failure -> {
+                    log.info("Engine {} did not tell its state: {}", entry.id(), failure.toString());
+                    state.unreachable(clock);
+                });
+    }
+
+    private void order(Outdated engine, Progress state, long sequence) {
+        state.calling = true;
+        TargetEntry entry = engine.target().entry();
+        EngineControl.WeightsOrder order =
+                new EngineControl.WeightsOrder(engine.model(), engine.version(), vm, lease.fence(), sequence);
+        control.await(
+                engines.order(entry, order),
+                answer -> {
+                    state.calling = false;
+                    state.nextCall = Deadline.after(clock, POLL);
+                    log.info(
+                            "Order {} with fence {}: weights {} of {} on engine {}: {}.",
+                            sequence + 1,
+                            order.fence(),
+                            engine.version(),
+                            engine.model(),
+                            entry.id(),
+                            answer);
+                    switch (answer) {
+                        case HELD -> state.done(engine.version());
+                        case FENCED -> lease.drop();
+                        case ACCEPTED, CONFLICT, REJECTED -> {}
+                    }
+                },
+                failure -> {
+                    log.info("Engine {} did not answer order {}: {}", entry.id(), sequence + 1, failure.toString());
+                    state.unreachable(clock);
+                });
+    }
+
+    private record Outdated(LiveTarget target, String model, long version, int poolSize) {}
+
+    /** How far one engine is. */
+    private static final class Progress {
+        private boolean calling;
+        private boolean begun;
+        private long doneVersion;
+        private Deadline nextCall;
+        private Deadline occupiesUntil;
+
+        private Progress(MonotonicClock clock) {
+            this.nextCall = new Deadline(clock.nanos());
+            this.occupiesUntil = nextCall;
+        }
+
+        private void begin(MonotonicClock clock) {
+            begun = true;
+            occupiesUntil = Deadline.after(clock, LOAD_LIMIT);
+        }
+
+        private boolean occupies(MonotonicClock clock) {
+            return begun && !occupiesUntil.hasPassed(clock);
+        }
+
+        private void done(long version) {
+            begun = false;
+            doneVersion = version;
+        }
+
+        private boolean isDone(long version) {
+            return doneVersion >= version;
+        }
+
+        private void unreachable(MonotonicClock clock) {
+            calling = false;
+            begun = false;
+            nextCall = Deadline.after(clock, UNREACHABLE_PAUSE);
+        }
+    }
+}
--- a/router/src/main/java/dev/bluebellshunt/router/JsonErrorHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/JsonErrorHandler.java
@@ -1,9 +1,9 @@
 package dev.bluebellshunt.router;
 
+import dev.bluebellshunt.core.error.ErrorBody;
 import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
-import dev.bluebellshunt.router.proxy.ErrorBody;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
--- a/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -1,8 +1,10 @@
 package dev.bluebellshunt.router;
 
 import dev.bluebellshunt.configuration.FleetConfigurationParser;
+import dev.bluebellshunt.configuration.HostPort;
 import dev.bluebellshunt.configuration.RouterSettings;
 import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.control.ControlLoop;
 import dev.bluebellshunt.core.error.Step;
 import dev.bluebellshunt.core.limit.ShareSystem;
 import dev.bluebellshunt.core.limit.WorkspaceLimiter;
@@ -22,13 +24,8 @@
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.core.usage.UsageLedger;
-import dev.bluebellshunt.platform.HttpKeyValueStore;
-import dev.bluebellshunt.platform.HttpVmList;
-import dev.bluebellshunt.platform.JsonHttpClient;
 import dev.bluebellshunt.router.admin.AdminHandler;
 import dev.bluebellshunt.router.caller.CallerHandler;
-import dev.bluebellshunt.router.caller.DrainState;
-import dev.bluebellshunt.router.control.ControlLoop;
 import dev.bluebellshunt.router.control.HttpTargetProbe;
 import dev.bluebellshunt.router.control.SnapshotHolder;
 import dev.bluebellshunt.router.control.SnapshotSystem;
@@ -39,6 +36,13 @@
 import dev.bluebellshunt.router.proxy.ProxySupport;
 import dev.bluebellshunt.router.telemetry.RouterMetrics;
 import dev.bluebellshunt.router.telemetry.Tracing;
+import dev.bluebellshunt.transport.DrainState;
+import dev.bluebellshunt.transport.HttpClients;
+import dev.bluebellshunt.transport.HttpKeyValueStore;
+import dev.bluebellshunt.transport.HttpServers;
+import dev.bluebellshunt.transport.HttpVmList;
+import dev.bluebellshunt.transport.JsonHttpClient;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.UUID;
@@ -46,6 +50,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.ServerConnector;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -158,19 +163,28 @@
                 tracing,
                 target -> control.execute(() -> probes.hurry(target)),
                 wait -> LockSupport.parkNanos(wait.toNanos()));
-        HttpServers.start("peers", settings.peers(), new PeerHandler(control, gossip, spread, limiter, ledger), closer);
-        this.admin = HttpServers.start(
+        listen("peers", settings.peers(), new PeerHandler(control, gossip, spread, limiter, ledger));
+        this.admin = listen(
                 "admin",
                 settings.admin(),
-                new AdminHandler(settings.vm(), snapshots, support, drain, settings.operatorDigest()),
-                closer);
+                new AdminHandler(settings.vm(), snapshots, support, drain, settings.operatorDigest()));
         CallerHandler handler =
                 new CallerHandler(snapshots, support, settings.requestTimeout(), settings.maxBodyBytes(), drain);
-        this.callers = HttpServers.start("callers", settings.callers(), handler, closer);
+        this.callers = listen("callers", settings.callers(), handler);
         control.start();
         log.info("Router {} serves callers on {}.", settings.vm(), settings.callers());
     }
 
+    private ServerConnector listen(String name, HostPort address, Handler handler) {
+        return HttpServers.start(
+                name,
+                new InetSocketAddress(address.host(), address.port()),
+                HttpServers.configuration(),
+                handler,
+                new JsonErrorHandler(),
+                closer);
+    }
+
     private static Tracing tracing(RouterSettings settings) {
         String endpoint = settings.otlpEndpoint();
         return endpoint.isEmpty() ? Tracing.off() : Tracing.exporting(settings.vm(), endpoint);
--- a/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
@@ -1,5 +1,6 @@
 package dev.bluebellshunt.router.caller;
 
+import dev.bluebellshunt.core.error.ErrorBody;
 import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
@@ -16,9 +17,9 @@
 import dev.bluebellshunt.router.proxy.CallerSink;
 import dev.bluebellshunt.router.proxy.CompletionCall;
 import dev.bluebellshunt.router.proxy.CompletionRequest;
-import dev.bluebellshunt.router.proxy.ErrorBody;
 import dev.bluebellshunt.router.proxy.ProxySupport;
 import dev.bluebellshunt.router.telemetry.Tracing;
+import dev.bluebellshunt.transport.DrainState;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
--- a/router/src/main/java/dev/bluebellshunt/router/control/HttpTargetProbe.java
+++ b/router/src/main/java/dev/bluebellshunt/router/control/HttpTargetProbe.java
@@ -3,7 +3,7 @@
 import dev.bluebellshunt.core.model.TargetSpec;
 import dev.bluebellshunt.core.target.TargetProbe;
 import dev.bluebellshunt.core.target.TargetReport;
-import dev.bluebellshunt.platform.JsonHttpClient;
+import dev.bluebellshunt.transport.JsonHttpClient;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpMethod;
--- a/router/src/main/java/dev/bluebellshunt/router/peer/PeerHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/peer/PeerHandler.java
@@ -1,12 +1,12 @@
 package dev.bluebellshunt.router.peer;
 
 import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.core.control.ControlLoop;
 import dev.bluebellshunt.core.limit.WorkspaceLimiter;
 import dev.bluebellshunt.core.member.GossipMessage;
 import dev.bluebellshunt.core.member.GossipSystem;
 import dev.bluebellshunt.core.once.OnceLedger;
 import dev.bluebellshunt.core.spread.ConfigurationSystem;
-import dev.bluebellshunt.router.control.ControlLoop;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.router.proxy;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import dev.bluebellshunt.core.error.ErrorBody;
 import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
--- a/router/src/main/java/dev/bluebellshunt/router/caller/DrainState.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/DrainState.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.router.caller;
+package dev.bluebellshunt.transport;
 
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
--- a/router/src/main/java/dev/bluebellshunt/router/HttpClients.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.router;
+package dev.bluebellshunt.transport;
 
 import dev.bluebellshunt.core.close.Closer;
 import java.util.concurrent.Executors;
--- a/platform/src/main/java/dev/bluebellshunt/platform/HttpKeyValueStore.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpKeyValueStore.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.platform;
+package dev.bluebellshunt.transport;
 
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
--- a/router/src/main/java/dev/bluebellshunt/router/HttpServers.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpServers.java
@@ -1,18 +1,23 @@
-package dev.bluebellshunt.router;
+package dev.bluebellshunt.transport;
 
-import dev.bluebellshunt.configuration.HostPort;
 import dev.bluebellshunt.core.close.Closer;
+import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Makes Jetty servers whose handlers run on virtual threads. */
-final class HttpServers {
+public final class HttpServers {
 
+    /** Jetty's own choice for few cores; one of each serves a small VM. */
+    private static final int ACCEPTORS = 1;
+
+    private static final int SELECTORS = 1;
     private static final int ACCEPT_QUEUE = 1_024;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
@@ -20,26 +25,52 @@
 
     private HttpServers() {}
 
-    /** Starts a server; closing its connector refuses new connections and keeps open ones. */
-    static ServerConnector start(String name, HostPort address, Handler handler, Closer closer) {
-        QueuedThreadPool threads = new QueuedThreadPool();
-        threads.setName(name);
-        threads.setDaemon(true);
-        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        Server server = new Server(threads);
+    /**
+     * The settings that all servers begin with.
+     *
+     * @return new settings, which the caller may change before the start
+     */
+    public static HttpConfiguration configuration() {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
         http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
-        ServerConnector connector = new ServerConnector(server, new HttpConnectionFactory(http));
-        connector.setHost(address.host());
-        connector.setPort(address.port());
+        return http;
+    }
+
+    /**
+     * Starts a server; closing its connector refuses new connections and keeps open ones.
+     *
+     * @param name the name of its threads
+     * @param address where it listens
+     * @param http its settings
+     * @param handler answers requests, on virtual threads
+     * @param errors answers requests that never reach the handler
+     * @param closer stops the server
+     * @return the listening connector
+     * @throws IllegalStateException if it can't listen
+     */
+    public static ServerConnector start(
+            String name,
+            InetSocketAddress address,
+            HttpConfiguration http,
+            Handler handler,
+            ErrorHandler errors,
+            Closer closer) {
+        QueuedThreadPool threads = new QueuedThreadPool();
+        threads.setName(name);
+        threads.setDaemon(true);
+        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        Server server = new Server(threads);
+        ServerConnector connector = new ServerConnector(server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(http));
+        connector.setHost(address.getHostString());
+        connector.setPort(address.getPort());
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         server.addConnector(connector);
         server.setHandler(handler);
-        server.setErrorHandler(new JsonErrorHandler());
+        server.setErrorHandler(errors);
         try {
             server.start();
         } catch (Exception e) {
--- a/platform/src/main/java/dev/bluebellshunt/platform/HttpVmList.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpVmList.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.platform;
+package dev.bluebellshunt.transport;
 
 import java.time.Duration;
 import java.util.List;
--- a/platform/src/main/java/dev/bluebellshunt/platform/JsonHttpClient.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.platform;
+package dev.bluebellshunt.transport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.BufferingResponseListener;
@@ -64,10 +65,32 @@
      */
     public CompletableFuture<Answer> send(
             HttpMethod method, String address, String pathAndQuery, @Nullable Object body, Duration timeout) {
+        return send(method, address, pathAndQuery, body, timeout, Map.of());
+    }
+
+    /**
+     * Sends a request with headers.
+     *
+     * @param method the method
+     * @param address host and port
+     * @param pathAndQuery path and query, encoded
+     * @param body the body, or null for none
+     * @param timeout the longest time that it may take
+     * @param headers headers by name
+     * @return status and body; fails with a {@link ShuntException} that names the address
+     */
+    public CompletableFuture<Answer> send(
+            HttpMethod method,
+            String address,
+            String pathAndQuery,
+            @Nullable Object body,
+            Duration timeout,
+            Map<String, String> headers) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
         Request request = http.newRequest("http://" + address + pathAndQuery)
                 .method(method)
-                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .headers(fields -> headers.forEach(fields::put));
         if (body != null) {
             request.body(new StringRequestContent("application/json", write(body), StandardCharsets.UTF_8));
         }
--- a/platform/src/main/java/dev/bluebellshunt/platform/VmEntry.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/VmEntry.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.platform;
+package dev.bluebellshunt.transport;
 
 /**
  * A VM as the platform's list shows it. The list lags behind the truth.
--- a/platform/src/main/java/dev/bluebellshunt/platform/VmList.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/VmList.java
@@ -1,4 +1,4 @@
-package dev.bluebellshunt.platform;
+package dev.bluebellshunt.transport;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
