Roll weights out oldest first, and name the expected weights

Ruled out: a slow holder (an order is answered in 4 ms).

All VMs now work out the same plan, oldest weights first, and keep requests away from the engines whose turn it is; each request names the weights that it expects, and after the time for new weights only engines with them are chosen. The store is called less often.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -47,10 +47,16 @@
 public final class RelayDaemon implements AutoCloseable {
 
     /** How often the registered targets are read: a target that leaves must be known within two seconds. */
-    private static final Duration TARGET_INTERVAL = Duration.ofMillis(800);
+    private static final Duration TARGET_INTERVAL = Duration.ofMillis(1_200);
+
+    /** How often they are read while engines load weights, so that no request names an outdated version. */
+    private static final Duration LOADING_INTERVAL = Duration.ofMillis(400);
 
     /** How often the VMs exchange records; demand shifts between VMs within seconds. */
-    private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_500);
+    private static final Duration FLEET_INTERVAL = Duration.ofSeconds(2);
+
+    /** How often a VM's record is renewed, well within its lease. */
+    private static final Duration FLEET_RENEWAL = Duration.ofSeconds(3);
 
     /** How often the idle time of connections and the gauges follow the configuration. */
     private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
@@ -120,7 +126,12 @@
                 settings.revocationTime().minus(REVOCATION_MARGIN),
                 settings.weightsTime().minus(WEIGHTS_MARGIN));
         control.add(operators);
-        control.add(new TargetListSystem(store, directory, control, new Every(clock, random, TARGET_INTERVAL)));
+        control.add(new TargetListSystem(
+                store,
+                directory,
+                control,
+                new Every(clock, random, TARGET_INTERVAL),
+                new Every(clock, random, LOADING_INTERVAL)));
         control.add(new FleetSystem(
                 store,
                 operators,
@@ -128,6 +139,7 @@
                 control,
                 clock,
                 new Every(clock, random, FLEET_INTERVAL),
+                new Every(clock, random, FLEET_RENEWAL),
                 settings.vm(),
                 settings.failureDomain()));
         control.add(new RolloutSystem(
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -34,6 +34,9 @@
     /** How much of the newest measurement goes into the published demand. */
     static final double SMOOTHING = 0.4;
 
+    /** A change of the demand by this part of it is published before the next renewal. */
+    static final double SHIFT = 0.2;
+
     private static final Logger log = LoggerFactory.getLogger("fleet");
 
     private final SharedStore store;
@@ -42,10 +45,12 @@
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final Every interval;
+    private final Every renewal;
     private final String vm;
     private final String failureDomain;
     private final Map<String, Double> demand = new HashMap<>();
     private long lease = SharedStore.NO_LEASE;
+    private VmRecord published;
     private long measuredNanos;
     private boolean calling;
 
@@ -57,7 +62,8 @@
      * @param limits takes this VM's parts
      * @param control the control thread
      * @param clock the clock to read
-     * @param interval how often to publish and read
+     * @param interval how often to read the others' records, and to publish a demand that has shifted
+     * @param renewal how often to publish in any case
      * @param vm this VM's name
      * @param failureDomain where it runs
      */
@@ -68,6 +74,7 @@
             ControlExecutor control,
             MonotonicClock clock,
             Every interval,
+            Every renewal,
             String vm,
             String failureDomain) {
         this.store = store;
@@ -76,6 +83,8 @@
         this.control = control;
         this.clock = clock;
         this.interval = interval;
+        this.renewal = renewal;
+        this.published = new VmRecord(vm, failureDomain, Map.of());
         this.vm = vm;
         this.failureDomain = failureDomain;
         this.measuredNanos = clock.nanos();
@@ -88,7 +97,8 @@
         }
         calling = true;
         measure();
-        VmRecord own = new VmRecord(vm, failureDomain, Map.copyOf(demand));
+        boolean publish = renewal.isDue() || lease == SharedStore.NO_LEASE || hasShifted();
+        VmRecord own = publish ? new VmRecord(vm, failureDomain, Map.copyOf(demand)) : published;
         CompletableFuture<Exchanged> exchange = openLease()
                 .thenCompose(open ->
                         store.putRecord(PREFIX + vm, Json.write(own), open).thenApply(done -> open))
@@ -107,6 +117,17 @@
         });
     }
 
+    /** Whether the demand differs enough from what the others know to change anyone's part. */
+    private boolean hasShifted() {
+        for (Map.Entry<String, Double> entry : demand.entrySet()) {
+            double known = published.demand().getOrDefault(entry.getKey(), 0.0);
+            if (Math.abs(entry.getValue() - known) > SHIFT * Math.max(known, 1)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void measure() {
         long now = clock.nanos();
         double seconds = (double) (now - measuredNanos) / TimeUnit.SECONDS.toNanos(1);
@@ -122,6 +143,7 @@
     private void take(Exchanged done, VmRecord own) {
         calling = false;
         lease = done.lease();
+        published = own;
         Map<String, Double> total = new HashMap<>();
         int vms = 0;
         for (SharedItem item : done.records()) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/HeaderCodec.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/HeaderCodec.java
@@ -33,9 +33,10 @@
     /**
      * Reads what a target's headers say.
      *
+     * @param targetId the target that the request was sent to
      * @param status the answer's status
      * @param headers the answer's headers
      * @return what they say
      */
-    AnswerMarks readAnswer(int status, HttpFields headers);
+    AnswerMarks readAnswer(String targetId, int status, HttpFields headers);
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -10,7 +10,9 @@
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.RouteKind;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.LiveTarget;
+import dev.bluebellshunt.relay.target.TargetChooser;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -279,8 +281,8 @@
             if (deadline.hasPassed(context.clock())) {
                 throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The request's time is over.");
             }
-            Optional<LiveTarget> target = context.chooser()
-                    .choose(context.directory().snapshot().pool(chosen.name()), tried, marks.sharedPart());
+            Optional<LiveTarget> target =
+                    context.chooser().choose(context.directory().snapshot().pool(chosen.name()), needs());
             if (target.isEmpty()) {
                 throw gaveUp(ErrorCode.NO_TARGET, "No target of the pool takes requests.");
             }
@@ -300,6 +302,26 @@
         }
     }
 
+    private TargetChooser.Request needs() {
+        return new TargetChooser.Request(
+                tried,
+                marks.sharedPart(),
+                marks.model(),
+                minWeights(),
+                context.directory().loading());
+    }
+
+    /** Once new weights have been named for long enough, no request may begin on older ones. */
+    private long minWeights() {
+        OperatorStateSystem.NamedWeights named =
+                marks.model() == null ? null : context.operators().weights().get(marks.model());
+        if (named == null) {
+            return 0;
+        }
+        long sinceNanos = context.clock().nanos() - named.sinceNanos();
+        return sinceNanos > context.weightsTime().toNanos() ? named.version() : 0;
+    }
+
     /** The error for a request that no target has answered, which tells whether one may have run it. */
     private ShuntException gaveUp(ErrorCode code, String message) {
         if (ran == 0) {
@@ -338,21 +360,28 @@
                         || "content-length".equals(name)
                         || (hideKey && "authorization".equals(name)));
         RelayWorkspace payer = workspace;
-        boolean engine = marks.model() != null;
-        String domain = payer != null && payer.dedicated() ? "w:" + payer.name() : "shared";
+        String model = marks.model();
+        Long weights = model == null || target.weights(model) == 0 ? null : target.weights(model);
         context.codec()
                 .writeTarget(
                         headers,
                         new TargetMarks(
                                 target.entry().id(),
-                                null,
+                                weights,
                                 payer == null ? null : payer.name(),
-                                engine ? domain : null,
-                                engine ? urgency(found) : null,
+                                model == null ? null : cacheDomain(weights),
+                                model == null ? null : urgency(found),
                                 limit));
         return headers;
     }
 
+    /** Requests share cached prompts only within the same walls and weights. */
+    private String cacheDomain(@Nullable Long weights) {
+        RelayWorkspace payer = workspace;
+        String walls = payer != null && payer.dedicated() ? "only:" + payer.name() : "shared";
+        return walls + "/" + (weights == null ? 0 : weights);
+    }
+
     private int urgency(RelayRoute found) {
         RelayWorkspace payer = workspace;
         int rank =
@@ -369,11 +398,23 @@
             return false;
         }
         target.load().heard();
-        AnswerMarks answer = context.codec().readAnswer(head.getStatus(), head.getHeaders());
-        if (answer.notRun() || answer.otherTarget()) {
+        AnswerMarks answer = context.codec().readAnswer(lastTarget, head.getStatus(), head.getHeaders());
+        String model = marks.model();
+        Long weights = answer.weights();
+        if (model != null && weights != null && !answer.otherTarget()) {
+            target.load().noteWeights(model, weights);
+        }
+        if (answer.notRun() || answer.otherTarget() || answer.otherWeights()) {
             refusedSends++;
-            attemptFailed(answer.otherTarget() ? "other_target" : "not_run", "status " + head.getStatus());
-            target.load().full(FULL_PAUSE);
+            if (answer.otherWeights() && weights != null) {
+                tried.remove(lastTarget);
+            }
+            attemptFailed(
+                    answer.otherTarget() ? "other_target" : answer.otherWeights() ? "other_weights" : "not_run",
+                    "status " + head.getStatus());
+            if (answer.notRun()) {
+                target.load().full(FULL_PAUSE);
+            }
             return false;
         }
         ran++;
@@ -561,6 +602,10 @@
                         requestId(),
                         "route",
                         found == null ? "none" : found.name(),
+                        "workspace",
+                        workspace == null ? "none" : workspace.name(),
+                        "tokens",
+                        marks.tokens(),
                         "target",
                         lastTarget,
                         "reason",
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -17,14 +17,17 @@
  * Follows what operators write to the store, and knows how old its knowledge may be.
  *
  * <p>One call is under way at any time: a read of everything after a start or a failure, else a watch
- * that the store answers at the first change or after a second. The knowledge is as of when the last
+ * that the store answers at the first change or after a while. The knowledge is as of when the last
  * answered call was sent, so it stays fresh only while answers come. Owned by the control thread; the
  * accessors may be called by all threads.
  */
 public final class OperatorStateSystem implements ControlSystem {
 
-    /** How long a watch may wait: the knowledge grows at most this old, and a round trip more. */
-    static final Duration WATCH_WAIT = Duration.ofSeconds(1);
+    /**
+     * How long a watch may wait: the knowledge grows at most twice this old, and a round trip more. It is longer
+     * than a store that loses its history may hold back changes before it cuts the watch.
+     */
+    static final Duration WATCH_WAIT = Duration.ofMillis(1_400);
 
     /** Pause after a failed call, so that a store that is down isn't called in a tight loop. */
     static final Duration RETRY_PAUSE = Duration.ofMillis(200);
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
@@ -1,10 +1,12 @@
 package dev.bluebellshunt.relay.target;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import dev.bluebellshunt.relay.model.TargetEntry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -34,36 +36,57 @@
         this.random = random;
     }
 
+    /**
+     * What a request asks of its target.
+     *
+     * @param tried targets that it has been sent to
+     * @param affinity what requests of the same target share, or null
+     * @param model the model that it asks for, or null
+     * @param minWeights the oldest version of the model's weights that it may begin on
+     * @param avoid targets that are better left alone
+     */
+    public record Request(
+            Set<String> tried,
+            @Nullable String affinity,
+            @Nullable String model,
+            long minWeights,
+            Set<TargetEntry.Incarnation> avoid) {
+
+        private boolean allows(LiveTarget target) {
+            return !target.entry().leaving()
+                    && !tried.contains(target.entry().id())
+                    && (model == null || minWeights == 0 || target.weights(model) >= minWeights);
+        }
+    }
+
     /**
      * Chooses a target.
      *
      * @param targets the pool's targets
-     * @param tried targets that the request has been sent to
-     * @param affinity what requests of the same target share, or null
+     * @param request what the request asks for
      * @return the target, or empty where none takes requests
      */
-    public Optional<LiveTarget> choose(List<LiveTarget> targets, Set<String> tried, @Nullable String affinity) {
-        List<LiveTarget> candidates = usable(targets, tried, true);
-        if (candidates.isEmpty()) {
-            candidates = usable(targets, tried, false);
+    public Optional<LiveTarget> choose(List<LiveTarget> targets, Request request) {
+        List<LiveTarget> allowed = new ArrayList<>(targets.size());
+        for (LiveTarget target : targets) {
+            if (request.allows(target)) {
+                allowed.add(target);
+            }
         }
+        List<LiveTarget> candidates = preferred(allowed, target -> target.load().isUsable());
+        candidates = preferred(
+                candidates, target -> !request.avoid().contains(target.entry().incarnation()));
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
+        String affinity = request.affinity();
         return Optional.of(affinity == null ? leastLoaded(candidates) : nearest(candidates, affinity));
     }
 
-    private static List<LiveTarget> usable(List<LiveTarget> targets, Set<String> tried, boolean healthy) {
-        List<LiveTarget> usable = new ArrayList<>(targets.size());
-        for (LiveTarget target : targets) {
-            if (target.entry().leaving() || tried.contains(target.entry().id())) {
-                continue;
-            }
-            if (!healthy || target.load().isUsable()) {
-                usable.add(target);
-            }
-        }
-        return usable;
+    /** The targets with a property, or all where none has it. */
+    private static List<LiveTarget> preferred(List<LiveTarget> targets, Predicate<LiveTarget> property) {
+        List<LiveTarget> good = targets.stream().filter(property).toList();
+        return good.isEmpty() ? targets : good;
     }
 
     private LiveTarget leastLoaded(List<LiveTarget> candidates) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +33,7 @@
     private boolean storeWasAway;
     private Deadline keepMissingUntil;
     private volatile TargetSnapshot snapshot = TargetSnapshot.EMPTY;
+    private volatile Set<TargetEntry.Incarnation> loading = Set.of();
 
     /**
      * Creates an empty directory.
@@ -111,4 +113,22 @@
     public TargetSnapshot snapshot() {
         return snapshot;
     }
+
+    /**
+     * Says which engines are about to load weights, and are better left alone.
+     *
+     * @param engines the engines
+     */
+    public void setLoading(Set<TargetEntry.Incarnation> engines) {
+        loading = engines;
+    }
+
+    /**
+     * Engines that are about to load weights.
+     *
+     * @return the engines
+     */
+    public Set<TargetEntry.Incarnation> loading() {
+        return loading;
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -3,6 +3,8 @@
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * What this VM has under way at a target, and how the target has answered it lately.
@@ -23,6 +25,7 @@
     private static final int MAX_DOUBLINGS = 4;
 
     private final MonotonicClock clock;
+    private final Map<String, Long> weights = new HashMap<>();
     private int open;
     private long openTokens;
     private int failuresInRow;
@@ -103,6 +106,26 @@
         return open == 0 || clock.nanos() - owesSinceNanos < SILENCE.toNanos();
     }
 
+    /**
+     * Notes under which version of a model's weights the target answered.
+     *
+     * @param model the model
+     * @param version the version
+     */
+    public synchronized void noteWeights(String model, long version) {
+        weights.merge(model, version, Math::max);
+    }
+
+    /**
+     * The newest version of a model's weights under which the target has answered.
+     *
+     * @param model the model
+     * @return the version, zero where none is known
+     */
+    public synchronized long weights(String model) {
+        return weights.getOrDefault(model, 0L);
+    }
+
     public synchronized int open() {
         return open;
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -7,10 +7,8 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.SharedStore;
-import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,14 +24,8 @@
  */
 public final class RolloutSystem implements ControlSystem {
 
-    /** Engines load in parallel up to this part of a pool; beyond it, each load takes longer. */
-    static final double PARALLEL_PART = 1 / 3.5;
-
-    /** The least number of engines that load in parallel. */
-    static final int MIN_PARALLEL = 2;
-
     /** How often an engine that loads is asked whether it is done. */
-    static final Duration POLL = Duration.ofMillis(250);
+    static final Duration POLL = Duration.ofMillis(100);
 
     /** Pause before an engine that gave no answer is asked again. */
     static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(600);
@@ -88,54 +80,33 @@
 
     @Override
     public void tick() {
-        List<Outdated> outdated = outdated();
-        if (lease.isHeld() || !outdated.isEmpty() || !everTried) {
+        RolloutPlan plan = RolloutPlan.of(directory.snapshot(), operators.weights());
+        directory.setLoading(plan.loading());
+        if (lease.isHeld() || !plan.steps().isEmpty() || !everTried) {
             everTried = true;
             lease.keep(TAKE_PAUSE);
         }
         if (lease.mayOrder()) {
-            advance(outdated);
-        }
-    }
-
-    private List<Outdated> outdated() {
-        List<Outdated> outdated = new ArrayList<>();
-        Map<String, OperatorStateSystem.NamedWeights> named = operators.weights();
-        if (named.isEmpty()) {
-            return outdated;
+            advance(plan.steps());
         }
-        for (List<LiveTarget> pool : directory.snapshot().byPool().values()) {
-            for (LiveTarget target : pool) {
-                target.entry().weights().forEach((model, version) -> {
-                    OperatorStateSystem.NamedWeights newest = named.get(model);
-                    if (newest != null
-                            && version < newest.version()
-                            && !target.entry().leaving()) {
-                        outdated.add(new Outdated(target, model, newest.version(), pool.size()));
-                    }
-                });
-            }
-        }
-        return outdated;
     }
 
-    private void advance(List<Outdated> outdated) {
+    private void advance(List<RolloutPlan.Step> steps) {
         progress.keySet()
-                .retainAll(outdated.stream()
-                        .map(o -> o.target().entry().incarnation())
+                .retainAll(steps.stream()
+                        .map(step -> step.target().entry().incarnation())
                         .toList());
         int loading = 0;
         for (Progress state : progress.values()) {
             loading += state.occupies(clock) ? 1 : 0;
         }
-        for (Outdated engine : outdated) {
-            int parallel = Math.max(MIN_PARALLEL, (int) (engine.poolSize() * PARALLEL_PART));
+        for (RolloutPlan.Step engine : steps) {
             Progress state = progress.computeIfAbsent(engine.target().entry().incarnation(), i -> new Progress(clock));
             if (state.isDone(engine.version()) || state.calling || !state.nextCall.hasPassed(clock)) {
                 continue;
             }
             if (!state.occupies(clock)) {
-                if (loading >= parallel) {
+                if (loading >= engine.parallel()) {
                     continue;
                 }
                 loading++;
@@ -145,7 +116,7 @@
         }
     }
 
-    private void ask(Outdated engine, Progress state) {
+    private void ask(RolloutPlan.Step engine, Progress state) {
         state.calling = true;
         TargetEntry entry = engine.target().entry();
         control.await(
@@ -153,6 +124,7 @@
                 report -> {
                     state.calling = false;
                     long version = report.weights().getOrDefault(engine.model(), 0L);
+                    engine.target().load().noteWeights(engine.model(), version);
                     if (version >= engine.version()) {
                         state.done(version);
                     } else if (report.busy() || !lease.mayOrder()) {
@@ -167,7 +139,7 @@
                 });
     }
 
-    private void order(Outdated engine, Progress state, long sequence) {
+    private void order(RolloutPlan.Step engine, Progress state, long sequence) {
         state.calling = true;
         TargetEntry entry = engine.target().entry();
         EngineControl.WeightsOrder order =
@@ -197,8 +169,6 @@
                 });
     }
 
-    private record Outdated(LiveTarget target, String model, long version, int poolSize) {}
-
     /** How far one engine is. */
     private static final class Progress {
         private boolean calling;
