Count workspace limits over sliding windows, and fetch cached prefixes between engines

Limits now hold for each window of the configured length; a part counts as spent after a start. Each request names the engine that read its prefix last, or the one that reads it by rule, as the source of what its engine lacks.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -14,6 +14,7 @@
 import dev.bluebellshunt.relay.proxy.RelayHandler;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.target.PrefixHolders;
 import dev.bluebellshunt.relay.target.TargetChooser;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.target.TargetListSystem;
@@ -50,7 +51,7 @@
     private static final Duration TARGET_INTERVAL = Duration.ofMillis(1_200);
 
     /** How often they are read while engines load weights, so that no request names an outdated version. */
-    private static final Duration LOADING_INTERVAL = Duration.ofMillis(400);
+    private static final Duration LOADING_INTERVAL = Duration.ofMillis(500);
 
     /** How often the VMs exchange records; demand shifts between VMs within seconds. */
     private static final Duration FLEET_INTERVAL = Duration.ofSeconds(2);
@@ -110,12 +111,13 @@
         ControlLoop control = closer.add(new ControlLoop());
         OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
         TargetDirectory directory = new TargetDirectory(clock);
-        FleetLimits limits = new FleetLimits(clock, settings.retries());
+        FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow());
         this.drain = new DrainState(clock);
         this.context = new RelayContext(
                 operators,
                 directory,
                 new TargetChooser(random),
+                new PrefixHolders(clock),
                 limits,
                 codec,
                 http,
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -14,6 +14,7 @@
  * @param readiness where the balancer asks whether this VM takes callers
  * @param metrics where metrics are served, or null
  * @param retries bounds on retries over all VMs
+ * @param quotaWindow the time over which a workspace's limit holds
  * @param revocationTime within which a withdrawn key must stop working
  * @param weightsTime within which requests must begin on newly named weights
  * @param turnTime the least time between the orders of two holders
@@ -26,6 +27,7 @@
         InetSocketAddress readiness,
         @Nullable InetSocketAddress metrics,
         FleetLimits.RetryBounds retries,
+        Duration quotaWindow,
         Duration revocationTime,
         Duration weightsTime,
         Duration turnTime,
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -35,7 +35,7 @@
     static final double SMOOTHING = 0.4;
 
     /** A change of the demand by this part of it is published before the next renewal. */
-    static final double SHIFT = 0.2;
+    static final double SHIFT = 0.35;
 
     private static final Logger log = LoggerFactory.getLogger("fleet");
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 /**
  * This VM's parts of the limits that hold over all VMs.
@@ -25,6 +26,7 @@
 
     private final MonotonicClock clock;
     private final RetryBounds bounds;
+    private final Duration quotaWindow;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Map<String, RetryAllowance> allowances = new ConcurrentHashMap<>();
     private volatile int vms = 1;
@@ -43,10 +45,12 @@
      *
      * @param clock the clock to read
      * @param bounds bounds on retries
+     * @param quotaWindow the time over which a workspace's limit holds
      */
-    public FleetLimits(MonotonicClock clock, RetryBounds bounds) {
+    public FleetLimits(MonotonicClock clock, RetryBounds bounds, Duration quotaWindow) {
         this.clock = clock;
         this.bounds = bounds;
+        this.quotaWindow = quotaWindow;
     }
 
     /**
@@ -70,13 +74,14 @@
             double part = demand <= 0
                     ? even
                     : EVEN_PART * even + (1 - EVEN_PART) * own.getOrDefault(workspace.name(), 0.0) / demand;
-            quota(workspace.name()).resize(workspace.ratePerSecond() * part, workspace.burst() * part);
+            double seconds = (double) quotaWindow.toNanos() / TimeUnit.SECONDS.toNanos(1);
+            quota(workspace.name()).resize((workspace.ratePerSecond() * seconds + workspace.burst()) * part);
         }
         allowances.values().forEach(allowance -> allowance.resize(extraPerVm()));
     }
 
     private WorkspaceQuota quota(String workspace) {
-        return quotas.computeIfAbsent(workspace, w -> new WorkspaceQuota(clock));
+        return quotas.computeIfAbsent(workspace, w -> new WorkspaceQuota(clock, quotaWindow));
     }
 
     private RetryAllowance allowance(String pool) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerMarks.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerMarks.java
@@ -44,9 +44,21 @@
     }
 
     /**
-     * The last part of the prompt that other requests share.
+     * The parts of the prompt that other requests share: all but the last one.
      *
-     * @return its id, or the request's own part where it shares none, or null for a plain request
+     * @return their ids, from the beginning of the prompt
+     */
+    public List<String> sharedParts() {
+        return prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
+
+    /**
+     * What the request has in common with those that share most of its prompt.
+     *
+     * @return the last shared part, or the request's own where it shares none, or null for a plain request
      */
     public @Nullable String sharedPart() {
         if (prompt.isEmpty()) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -362,6 +362,7 @@
         RelayWorkspace payer = workspace;
         String model = marks.model();
         Long weights = model == null || target.weights(model) == 0 ? null : target.weights(model);
+        String domain = model == null ? null : cacheDomain(weights);
         context.codec()
                 .writeTarget(
                         headers,
@@ -369,7 +370,8 @@
                                 target.entry().id(),
                                 weights,
                                 payer == null ? null : payer.name(),
-                                model == null ? null : cacheDomain(weights),
+                                domain,
+                                domain == null ? null : cacheSource(target, domain),
                                 model == null ? null : urgency(found),
                                 limit));
         return headers;
@@ -382,6 +384,21 @@
         return walls + "/" + (weights == null ? 0 : weights);
     }
 
+    /** Where the target can fetch what it lacks: from the engine that read it last, or that reads it by rule. */
+    private @Nullable String cacheSource(LiveTarget target, String domain) {
+        List<LiveTarget> engines =
+                context.directory().snapshot().pool(target.entry().pool());
+        Optional<LiveTarget> source = context.holders().source(engines, target, domain, marks.sharedParts());
+        String shared = marks.sharedPart();
+        if (source.isEmpty() && shared != null) {
+            source = TargetChooser.home(engines, shared);
+        }
+        return source.filter(
+                        holder -> !holder.entry().id().equals(target.entry().id()))
+                .map(holder -> holder.entry().address())
+                .orElse(null);
+    }
+
     private int urgency(RelayRoute found) {
         RelayWorkspace payer = workspace;
         int rank =
@@ -435,6 +452,9 @@
                 return false;
             }
         }
+        if (model != null) {
+            context.holders().read(lastTarget, cacheDomain(target.weights(model)), marks.sharedParts());
+        }
         return passOn(target, found, sent, head);
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.target.PrefixHolders;
 import dev.bluebellshunt.relay.target.TargetChooser;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.telemetry.DecisionLog;
@@ -17,6 +18,7 @@
  * @param operators the configuration, and how old it may be
  * @param directory the targets
  * @param chooser chooses among them
+ * @param holders which engines have read which prefixes
  * @param limits limits over all VMs
  * @param codec the headers' names
  * @param http the client for targets
@@ -31,6 +33,7 @@
         OperatorStateSystem operators,
         TargetDirectory directory,
         TargetChooser chooser,
+        PrefixHolders holders,
         FleetLimits limits,
         HeaderCodec codec,
         HttpClient http,
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -89,6 +90,20 @@
         return good.isEmpty() ? targets : good;
     }
 
+    /**
+     * The target that gets the requests of a prefix while it is not overloaded.
+     *
+     * @param targets the pool's targets
+     * @param affinity what the requests share
+     * @return the target, or empty where none takes requests
+     */
+    public static Optional<LiveTarget> home(List<LiveTarget> targets, String affinity) {
+        return targets.stream()
+                .filter(target -> !target.entry().leaving() && target.load().isUsable())
+                .min(Comparator.comparingLong(
+                        target -> score(affinity, target.entry().id())));
+    }
+
     private LiveTarget leastLoaded(List<LiveTarget> candidates) {
         int start = random.nextInt(candidates.size());
         LiveTarget best = candidates.get(start);
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -27,6 +27,9 @@
     /** How often an engine that loads is asked whether it is done. */
     static final Duration POLL = Duration.ofMillis(100);
 
+    /** How much older than the truth an engine's report may be; a new order does not show in it before. */
+    static final Duration REPORT_LAG = Duration.ofMillis(350);
+
     /** Pause before an engine that gave no answer is asked again. */
     static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(600);
 
@@ -148,7 +151,7 @@
                 engines.order(entry, order),
                 answer -> {
                     state.calling = false;
-                    state.nextCall = Deadline.after(clock, POLL);
+                    state.nextCall = Deadline.after(clock, REPORT_LAG);
                     log.info(
                             "Order {} with fence {}: weights {} of {} on engine {}: {}.",
                             sequence + 1,
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
@@ -0,0 +1,122 @@
+package dev.bluebellshunt.relay.target;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import dev.bluebellshunt.core.testing.ManualClock;
+import dev.bluebellshunt.relay.model.TargetEntry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** Who gets work: shared prefixes, overload of one prefix, targets to leave alone, plain services. */
+class TargetChooserTests {
+
+    private final ManualClock clock = new ManualClock();
+    private final TargetChooser chooser = new TargetChooser(new Random(3));
+    private final List<LiveTarget> engines = new ArrayList<>();
+
+    TargetChooserTests() {
+        for (int i = 0; i < 8; i++) {
+            engines.add(new LiveTarget(Targets.engine("e" + i, 1), new TargetLoad(clock)));
+        }
+    }
+
+    private LiveTarget choose(@Nullable String affinity, Set<String> tried, long minWeights, Set<String> avoided) {
+        Set<TargetEntry.Incarnation> avoid = new HashSet<>();
+        engines.stream()
+                .map(LiveTarget::entry)
+                .filter(e -> avoided.contains(e.id()))
+                .forEach(e -> avoid.add(e.incarnation()));
+        return chooser.choose(engines, new TargetChooser.Request(tried, affinity, "m", minWeights, avoid))
+                .orElseThrow();
+    }
+
+    private LiveTarget choose(@Nullable String affinity) {
+        return choose(affinity, Set.of(), 0, Set.of());
+    }
+
+    @Test
+    void requestsOfOnePrefixGoToOneTargetAndOtherVmsAgree() {
+        TargetChooser other = new TargetChooser(new Random(99));
+        for (int i = 0; i < 50; i++) {
+            LiveTarget here = choose("prefix-" + i);
+            LiveTarget there = other.choose(
+                            engines, new TargetChooser.Request(Set.of(), "prefix-" + i, "m", 0, Set.of()))
+                    .orElseThrow();
+            assertThat(here, equalTo(there));
+        }
+    }
+
+    @Test
+    void hotPrefixSpillsOverInsteadOfPilingUp() {
+        for (int i = 0; i < 200; i++) {
+            choose("hot").load().opened(1_000);
+        }
+        for (LiveTarget engine : engines) {
+            assertThat(engine.load().open(), greaterThan(0));
+            assertThat(engine.load().open(), lessThanOrEqualTo((int) (200 / 8 * TargetChooser.LOAD_BOUND) + 5));
+        }
+    }
+
+    @Test
+    void triedAndFailedTargetsAreLeftAlone() {
+        LiveTarget home = choose("p");
+        assertThat(choose("p", Set.of(home.entry().id()), 0, Set.of()), not(home));
+        home.load().failed();
+        assertThat(choose("p"), not(home));
+    }
+
+    @Test
+    void targetThatIsAboutToLoadIsLeftAloneUnlessAllAre() {
+        LiveTarget home = choose("p");
+        assertThat(choose("p", Set.of(), 0, Set.of(home.entry().id())), not(home));
+        Set<String> all = new HashSet<>();
+        engines.forEach(e -> all.add(e.entry().id()));
+        assertThat(choose("p", Set.of(), 0, all), equalTo(home));
+    }
+
+    @Test
+    void onlyTargetsWithTheWeightsAreChosen() {
+        engines.get(5).load().noteWeights("m", 2);
+        for (int i = 0; i < 20; i++) {
+            assertThat(choose("p" + i, Set.of(), 2, Set.of()), equalTo(engines.get(5)));
+        }
+    }
+
+    @Test
+    void leavingTargetsGetNothing() {
+        List<LiveTarget> leaving = engines.stream()
+                .map(e -> new LiveTarget(Targets.leaving(e.entry()), e.load()))
+                .toList();
+        assertThat(
+                chooser.choose(leaving, new TargetChooser.Request(Set.of(), "p", "m", 0, Set.of()))
+                        .isEmpty(),
+                equalTo(true));
+    }
+
+    @Test
+    void plainRequestsGoWhereLeastIsUnderWay() {
+        for (int i = 0; i < 7; i++) {
+            engines.get(i).load().opened(1);
+        }
+        assertThat(choose(null), equalTo(engines.get(7)));
+    }
+
+    @Test
+    void silentTargetThatOwesAnswersIsLeftAlone() {
+        LiveTarget home = choose("p");
+        home.load().opened(1_000);
+        clock.advance(TargetLoad.SILENCE);
+        assertThat(choose("p"), not(home));
+        home.load().heard();
+        assertThat(choose("p"), equalTo(home));
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/Targets.java
@@ -0,0 +1,48 @@
+package dev.bluebellshunt.relay.target;
+
+import dev.bluebellshunt.relay.model.TargetEntry;
+import java.util.Map;
+
+/** Makes entries of targets for tests. */
+public final class Targets {
+
+    private Targets() {}
+
+    public static TargetEntry engine(String id, long weights) {
+        return new TargetEntry(id, 1, "engines", "10.0.0.1", port(id), "fd-1", 48, false, Map.of("m", weights));
+    }
+
+    public static TargetEntry application(String id) {
+        return new TargetEntry(id, 1, "applications", "10.0.0.2", port(id), "fd-1", 6, false, Map.of());
+    }
+
+    public static TargetEntry leaving(TargetEntry entry) {
+        return new TargetEntry(
+                entry.id(),
+                entry.bornMillis(),
+                entry.pool(),
+                entry.host(),
+                entry.port(),
+                entry.failureDomain(),
+                entry.slots(),
+                true,
+                entry.weights());
+    }
+
+    public static TargetEntry reborn(TargetEntry entry) {
+        return new TargetEntry(
+                entry.id(),
+                entry.bornMillis() + 1,
+                entry.pool(),
+                entry.host(),
+                entry.port(),
+                entry.failureDomain(),
+                entry.slots(),
+                entry.leaving(),
+                entry.weights());
+    }
+
+    private static int port(String id) {
+        return 1_024 + Math.floorMod(id.hashCode(), 60_000);
+    }
+}
