Stop in order, and ask another target where a silent one owes a repeatable answer

Ruled out: closing the listener at once, since the balancer still sends callers.

Once the balancer has noticed a stop, idle connections are closed and late requests refused as not run. A repeatable request leaves a target that is silent.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -85,6 +85,7 @@
     private final Closer closer = new Closer();
     private final DrainState drain;
     private final RelayContext context;
+    private final RelayHandler handler;
     private final ServerConnector callers;
     private Duration idleTimeout = CallerLimits.DEFAULT.idleTimeout();
 
@@ -156,7 +157,8 @@
         HttpConfiguration callerHttp = HttpServers.configuration();
         callerHttp.setUriCompliance(UriCompliance.UNSAFE);
         callerHttp.setRequestHeaderSize(CallerLimits.DEFAULT.maxHeaderBytes());
-        this.callers = listen("callers", settings.callers(), callerHttp, new RelayHandler(context));
+        this.handler = new RelayHandler(context);
+        this.callers = listen("callers", settings.callers(), callerHttp, handler);
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
         listen("readiness", settings.readiness(), HttpServers.configuration(), new StateHandler(this::isReady));
         if (settings.metrics() != null) {
@@ -196,13 +198,24 @@
         log.info("Connections of callers may now stay idle for {} ms.", wanted.toMillis());
     }
 
-    /** Stops taking callers, serves what still comes until it is quiet, and ends within the grace time. */
+    /**
+     * Stops taking callers and ends within the grace time.
+     *
+     * <p>Requests are served until the balancer has noticed. Then idle connections are closed, which callers
+     * answer by connecting elsewhere, and a request that still comes is refused as not run, since it could
+     * not end in time.
+     */
     public void drain() {
         Deadline end = Deadline.after(clock, settings.grace().minus(STOP_MARGIN));
         Deadline balancerLooked = Deadline.after(clock, BALANCER_TIME);
         drain.announce();
         log.info("The VM stops: {} requests are open.", drain.open());
-        while (!end.hasPassed(clock) && !(balancerLooked.hasPassed(clock) && drain.isQuiet())) {
+        while (!balancerLooked.hasPassed(clock)) {
+            LockSupport.parkNanos(STOP_POLL.toNanos());
+        }
+        handler.refuseNew();
+        callers.getConnectedEndPoints().stream().filter(handler::isIdle).forEach(EndPoint::close);
+        while (!end.hasPassed(clock) && drain.open() > 0) {
             LockSupport.parkNanos(STOP_POLL.toNanos());
         }
         log.info("The VM has stopped: {} requests are open.", drain.open());
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -22,7 +22,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -86,6 +85,7 @@
     private int ran;
     private int refusedSends;
     private boolean retryGranted;
+    private long sentNanos;
     private String result = "ok";
     private String lastTarget = "none";
     private String lastFailure = "none";
@@ -122,7 +122,7 @@
             running = exchange;
         }
         if (running != null) {
-            running.abort(new CancellationException("the caller has left"));
+            running.abort(new CallerGoneException());
         }
     }
 
@@ -133,7 +133,7 @@
     private synchronized void running(@Nullable TargetExchange next) throws IOException {
         exchange = next;
         if (next != null && callerGone) {
-            throw new IOException("the caller has left");
+            throw new CallerGoneException();
         }
     }
 
@@ -276,7 +276,7 @@
         context.limits().requested(chosen.name());
         while (true) {
             if (isCallerGone()) {
-                throw new IOException("the caller has left");
+                throw new CallerGoneException();
             }
             if (deadline.hasPassed(context.clock())) {
                 throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The request's time is over.");
@@ -342,6 +342,7 @@
         lastTarget = target.entry().id();
         target.load().opened(tokens);
         Duration limit = deadline.remaining(context.clock());
+        sentNanos = context.clock().nanos();
         try (TargetExchange sent = new TargetExchange(
                 context.http(), target.entry(), prepared(outgoing), targetHeaders(target, found, limit), limit)) {
             running(sent);
@@ -409,7 +410,7 @@
     private boolean answered(LiveTarget target, RelayRoute found, TargetExchange sent) throws IOException {
         org.eclipse.jetty.client.Response head;
         try {
-            head = sent.head();
+            head = sent.head(() -> givesUpOn(target, found));
         } catch (TargetExchange.TargetFailure e) {
             failedAttempt(target, e);
             return false;
@@ -458,11 +459,25 @@
         return passOn(target, found, sent, head);
     }
 
+    /**
+     * Whether to stop waiting for the first byte of a target that has gone silent and to ask another one,
+     * which only requests that may run again can do.
+     */
+    private boolean givesUpOn(LiveTarget target, RelayRoute found) {
+        boolean canRepeat = found.isRepeatable() && ran + 1 < found.maxAttempts();
+        return canRepeat
+                && !target.load().isUsable()
+                && context.clock().nanos() - sentNanos > found.objective().toNanos() / 2
+                && context.limits().tryRetry(prepared(pool).name());
+    }
+
     private void failedAttempt(LiveTarget target, TargetExchange.TargetFailure failure) throws IOException {
         if (isCallerGone()) {
-            throw new IOException("the caller has left", failure);
+            target.load().gaveUp();
+            throw new CallerGoneException();
         }
         if (failure.isSent()) {
+            retryGranted = failure.isGivenUp();
             ran++;
         } else {
             refusedSends++;
@@ -551,15 +566,37 @@
         HttpFields.Mutable headers = ForwardedHeaders.copy(head.getHeaders(), name -> false);
         response.setStatus(status);
         headers.forEach(field -> response.getHeaders().add(field));
-        context.metrics()
-                .firstByte(
-                        prepared(route).kind().name().toLowerCase(Locale.ROOT),
-                        (double) (context.clock().nanos() - arrivedNanos) / TimeUnit.SECONDS.toNanos(1));
+        noteFirstByte(prepared(route));
         if (status >= STATUS_ERROR) {
             result = "target_error";
         }
     }
 
+    private void noteFirstByte(RelayRoute found) {
+        long millis = elapsedMillis();
+        context.metrics().firstByte(found.kind().name().toLowerCase(Locale.ROOT), millis / 1_000.0);
+        if (millis > found.objective().toMillis()) {
+            context.decisions()
+                    .write(
+                            "late_answer",
+                            requestId(),
+                            "route",
+                            found.name(),
+                            "target",
+                            lastTarget,
+                            "tokens",
+                            marks.tokens(),
+                            "ran",
+                            ran,
+                            "refused_sends",
+                            refusedSends,
+                            "ms_to_send",
+                            TimeUnit.NANOSECONDS.toMillis(sentNanos - arrivedNanos),
+                            "ms",
+                            millis);
+        }
+    }
+
     /** Passes pieces on as they come. A failure leaves the response unfinished, so that the caller sees the break. */
     private void copy(byte[] first, InputStream body, byte[] buffer, LiveTarget target) throws IOException {
         write(ByteBuffer.wrap(first));
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -9,8 +9,11 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -24,7 +27,12 @@
 
     private static final Logger log = LoggerFactory.getLogger("request");
 
+    /** Another router takes the caller at once. */
+    private static final Duration DRAINING_RETRY = Duration.ofMillis(20);
+
     private final RelayContext context;
+    private final Set<EndPoint> busy = ConcurrentHashMap.newKeySet();
+    private volatile boolean refusing;
 
     /**
      * Creates the handler.
@@ -42,10 +50,14 @@
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
         context.drain().opened();
+        EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+        busy.add(endPoint);
         RelayCall call = new RelayCall(context, request, response, arrivedNanos);
-        CallerWatch watch =
-                new CallerWatch(request.getConnectionMetaData().getConnection().getEndPoint(), call::callerGone);
+        CallerWatch watch = new CallerWatch(endPoint, call::callerGone);
         try {
+            if (refusing) {
+                throw ShuntException.notRun(ErrorCode.DRAINING, Step.DRAIN, "This router is stopping.", DRAINING_RETRY);
+            }
             call.prepare();
             watch.attach();
             call.run();
@@ -62,12 +74,28 @@
                     ErrorCode.INTERNAL, Step.FORWARD, "self", Outcome.UNKNOWN, "The router failed.", null, e);
             refuse(call, failure, response, watch, callback);
         } finally {
+            busy.remove(endPoint);
             context.drain().closed();
             call.report();
         }
         return true;
     }
 
+    /** Refuses all requests from now on, since the process is about to end. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
+    /**
+     * Whether no request is being served on a connection.
+     *
+     * @param endPoint the connection
+     * @return true where it can be closed without losing an answer
+     */
+    public boolean isIdle(EndPoint endPoint) {
+        return !busy.contains(endPoint);
+    }
+
     private static void finish(RelayCall call, Response response, CallerWatch watch, Callback callback) {
         watch.detach();
         if (watch.hasSurplus()) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -4,11 +4,11 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
-import java.util.concurrent.CancellationException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.InputStreamResponseListener;
@@ -20,6 +20,9 @@
 /** One request to one target. Any thread may {@link #abort} it; the target's connection is closed then. */
 final class TargetExchange implements AutoCloseable {
 
+    /** How often a wait is reconsidered; well below the shortest objective. */
+    private static final long GIVE_UP_POLL_MS = 100;
+
     private final Request call;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean begun = new AtomicBoolean();
@@ -43,13 +46,29 @@
     /**
      * Sends the request and waits for the head of the answer.
      *
+     * @param giveUp asked once in a while whether to stop waiting
      * @return the answer, its body still to be read
      * @throws TargetFailure if there is none
      */
-    Response head() throws TargetFailure {
+    Response head(BooleanSupplier giveUp) throws TargetFailure {
         call.send(listener);
+        long waitedMillis = 0;
         try {
-            return listener.get(limit.toMillis(), TimeUnit.MILLISECONDS);
+            while (true) {
+                long step = Math.min(GIVE_UP_POLL_MS, Math.max(1, limit.toMillis() - waitedMillis));
+                try {
+                    return listener.get(step, TimeUnit.MILLISECONDS);
+                } catch (TimeoutException e) {
+                    waitedMillis += step;
+                    if (waitedMillis >= limit.toMillis()) {
+                        throw e;
+                    }
+                    if (giveUp.getAsBoolean()) {
+                        abort(e);
+                        throw new TargetFailure(begun.get(), false, true, e);
+                    }
+                }
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             abort(e);
@@ -63,7 +82,7 @@
     }
 
     private TargetFailure failure(Throwable cause) {
-        return new TargetFailure(begun.get(), cause instanceof TimeoutException, cause);
+        return new TargetFailure(begun.get(), cause instanceof TimeoutException, false, cause);
     }
 
     /** The answer's body; its reads fail where the answer breaks off. */
@@ -84,7 +103,7 @@
     /** Ends the exchange; one whose answer has not been read to its end is cut. */
     @Override
     public void close() {
-        abort(new CancellationException("the answer is not needed"));
+        abort(new IOException("the answer is not needed"));
     }
 
     /** A target gave no answer. */
@@ -94,11 +113,13 @@
 
         private final boolean sent;
         private final boolean timeout;
+        private final boolean givenUp;
 
-        TargetFailure(boolean sent, boolean timeout, Throwable cause) {
+        TargetFailure(boolean sent, boolean timeout, boolean givenUp, Throwable cause) {
             super(cause.toString(), cause, false, false);
             this.sent = sent;
             this.timeout = timeout;
+            this.givenUp = givenUp;
         }
 
         /** Whether any of the request may have reached the target. */
@@ -106,6 +127,11 @@
             return sent;
         }
 
+        /** Whether the wait was ended in favour of another target. */
+        boolean isGivenUp() {
+            return givenUp;
+        }
+
         /** Whether the time limit ended it. */
         boolean isTimeout() {
             return timeout;
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -14,7 +14,7 @@
 public final class TargetLoad {
 
     /** A target that stays silent this long while it owes answers is taken for stalled; a few times a slow first token. */
-    static final Duration SILENCE = Duration.ofMillis(1_200);
+    static final Duration SILENCE = Duration.ofMillis(800);
 
     /** The first pause after a failure; each further failure in a row doubles it. */
     static final Duration FIRST_PENALTY = Duration.ofMillis(250);
@@ -85,6 +85,13 @@
         avoidUntil = Deadline.after(clock, pause.compareTo(MAX_PENALTY) > 0 ? MAX_PENALTY : pause);
     }
 
+    /** Notes that a request was given up before its first byte; it speaks against a target that is silent. */
+    public synchronized void gaveUp() {
+        if (clock.nanos() - owesSinceNanos >= SILENCE.toNanos()) {
+            failed();
+        }
+    }
+
     /**
      * Notes that the target takes no requests for now.
      *
