Choose engines by what all VMs have waiting there

Ruled out: polling the engines' reports, which are priced and some hundred ms old.

VMs tell each other every 250 ms what they have under way at each target. A request leaves its home engine only where it would start clearly sooner; one that will be late goes behind those that can still be on time.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -9,6 +9,9 @@
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.model.CallerLimits;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.peer.InternalHandler;
+import dev.bluebellshunt.relay.peer.PeerSystem;
+import dev.bluebellshunt.relay.peer.PeerUses;
 import dev.bluebellshunt.relay.proxy.HeaderCodec;
 import dev.bluebellshunt.relay.proxy.RelayContext;
 import dev.bluebellshunt.relay.proxy.RelayHandler;
@@ -24,13 +27,12 @@
 import dev.bluebellshunt.relay.weights.RolloutSystem;
 import dev.bluebellshunt.transport.DrainState;
 import dev.bluebellshunt.transport.HttpServers;
+import dev.bluebellshunt.transport.JsonHttpClient;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
@@ -59,6 +61,9 @@
     /** How often a VM's record is renewed, well within its lease. */
     private static final Duration FLEET_RENEWAL = Duration.ofSeconds(3);
 
+    /** How often VMs tell each other what they have under way: a few times within a request's life. */
+    private static final Duration PEER_INTERVAL = Duration.ofMillis(250);
+
     /** How often the idle time of connections and the gauges follow the configuration. */
     private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
 
@@ -97,6 +102,7 @@
      * @param engines the way to the engines
      * @param codec the names of headers
      * @param http the client for targets
+     * @param peers the client for the other VMs
      * @param clock a clock that counts the time in which the VM is suspended
      */
     public RelayDaemon(
@@ -105,6 +111,7 @@
             EngineControl engines,
             HeaderCodec codec,
             HttpClient http,
+            JsonHttpClient peers,
             MonotonicClock clock) {
         this.settings = settings;
         this.clock = clock;
@@ -112,12 +119,13 @@
         ControlLoop control = closer.add(new ControlLoop());
         OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
         TargetDirectory directory = new TargetDirectory(clock);
+        PeerUses peerUses = new PeerUses(clock);
         FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow());
         this.drain = new DrainState(clock);
         this.context = new RelayContext(
                 operators,
                 directory,
-                new TargetChooser(random),
+                new TargetChooser(random, peerUses),
                 new PrefixHolders(clock),
                 limits,
                 codec,
@@ -135,7 +143,7 @@
                 control,
                 new Every(clock, random, TARGET_INTERVAL),
                 new Every(clock, random, LOADING_INTERVAL)));
-        control.add(new FleetSystem(
+        FleetSystem fleet = new FleetSystem(
                 store,
                 operators,
                 limits,
@@ -144,7 +152,11 @@
                 new Every(clock, random, FLEET_INTERVAL),
                 new Every(clock, random, FLEET_RENEWAL),
                 settings.vm(),
-                settings.failureDomain()));
+                settings.failureDomain(),
+                settings.internal().getHostString() + ":" + settings.internal().getPort());
+        control.add(fleet);
+        control.add(new PeerSystem(
+                peers, fleet, directory, peerUses, control, new Every(clock, random, PEER_INTERVAL), settings.vm()));
         control.add(new RolloutSystem(
                 store, engines, operators, directory, control, clock, settings.vm(), settings.turnTime()));
         Every housekeeping = new Every(clock, random, HOUSEKEEPING);
@@ -161,9 +173,11 @@
         this.callers = listen("callers", settings.callers(), callerHttp, handler);
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
         listen("readiness", settings.readiness(), HttpServers.configuration(), new StateHandler(this::isReady));
-        if (settings.metrics() != null) {
-            listen("metrics", settings.metrics(), HttpServers.configuration(), new MetricsHandler(context));
-        }
+        listen(
+                "internal",
+                settings.internal(),
+                HttpServers.configuration(),
+                new InternalHandler(peerUses, context.metrics()));
         log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
     }
 
@@ -241,20 +255,4 @@
             return true;
         }
     }
-
-    /** Serves the metrics as text. */
-    private static final class MetricsHandler extends Handler.Abstract {
-        private final RelayContext context;
-
-        private MetricsHandler(RelayContext context) {
-            this.context = context;
-        }
-
-        @Override
-        public boolean handle(Request request, Response response, Callback callback) {
-            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
-            response.write(true, ByteBuffer.wrap(context.metrics().text()), callback);
-            return true;
-        }
-    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -3,7 +3,6 @@
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import org.jspecify.annotations.Nullable;
 
 /**
  * What a process is told at its start.
@@ -12,7 +11,7 @@
  * @param failureDomain where the VM runs
  * @param callers where callers connect
  * @param readiness where the balancer asks whether this VM takes callers
- * @param metrics where metrics are served, or null
+ * @param internal where the other VMs send reports, and metrics are served
  * @param retries bounds on retries over all VMs
  * @param quotaWindow the time over which a workspace's limit holds
  * @param revocationTime within which a withdrawn key must stop working
@@ -25,7 +24,7 @@
         String failureDomain,
         InetSocketAddress callers,
         InetSocketAddress readiness,
-        @Nullable InetSocketAddress metrics,
+        InetSocketAddress internal,
         FleetLimits.RetryBounds retries,
         Duration quotaWindow,
         Duration revocationTime,
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.relay.store.SharedItem;
 import dev.bluebellshunt.relay.store.SharedStore;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,9 +49,11 @@
     private final Every renewal;
     private final String vm;
     private final String failureDomain;
+    private final String internalAddress;
     private final Map<String, Double> demand = new HashMap<>();
     private long lease = SharedStore.NO_LEASE;
     private VmRecord published;
+    private List<String> peers = List.of();
     private long measuredNanos;
     private boolean calling;
 
@@ -66,6 +69,7 @@
      * @param renewal how often to publish in any case
      * @param vm this VM's name
      * @param failureDomain where it runs
+     * @param internalAddress where the other VMs reach it
      */
     public FleetSystem(
             SharedStore store,
@@ -76,7 +80,8 @@
             Every interval,
             Every renewal,
             String vm,
-            String failureDomain) {
+            String failureDomain,
+            String internalAddress) {
         this.store = store;
         this.operators = operators;
         this.limits = limits;
@@ -84,9 +89,10 @@
         this.clock = clock;
         this.interval = interval;
         this.renewal = renewal;
-        this.published = new VmRecord(vm, failureDomain, Map.of());
+        this.published = new VmRecord(vm, failureDomain, internalAddress, Map.of());
         this.vm = vm;
         this.failureDomain = failureDomain;
+        this.internalAddress = internalAddress;
         this.measuredNanos = clock.nanos();
     }
 
@@ -98,7 +104,7 @@
         calling = true;
         measure();
         boolean publish = renewal.isDue() || lease == SharedStore.NO_LEASE || hasShifted();
-        VmRecord own = publish ? new VmRecord(vm, failureDomain, Map.copyOf(demand)) : published;
+        VmRecord own = publish ? new VmRecord(vm, failureDomain, internalAddress, Map.copyOf(demand)) : published;
         CompletableFuture<Exchanged> exchange = openLease()
                 .thenCompose(open ->
                         store.putRecord(PREFIX + vm, Json.write(own), open).thenApply(done -> open))
@@ -145,6 +151,7 @@
         lease = done.lease();
         published = own;
         Map<String, Double> total = new HashMap<>();
+        List<String> others = new ArrayList<>();
         int vms = 0;
         for (SharedItem item : done.records()) {
             VmRecord other;
@@ -155,12 +162,25 @@
                 continue;
             }
             vms++;
+            if (!other.vm().equals(vm)) {
+                others.add(other.internalAddress());
+            }
             other.demand().forEach((workspace, units) -> total.merge(workspace, units, Double::sum));
         }
+        peers = List.copyOf(others);
         int live = vms;
         operators.configuration().ifPresent(known -> limits.resize(known, own.demand(), total, live));
     }
 
+    /**
+     * Where the other VMs are reached, as of the last exchange.
+     *
+     * @return hosts and ports
+     */
+    public List<String> peers() {
+        return peers;
+    }
+
     private void failed(Throwable failure) {
         calling = false;
         lease = SharedStore.NO_LEASE;
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
@@ -0,0 +1,66 @@
+package dev.bluebellshunt.relay.peer;
+
+import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.relay.telemetry.RelayMetrics;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Serves the other VMs' reports and the metrics, on a port that callers can't reach. */
+public final class InternalHandler extends Handler.Abstract {
+
+    private static final String METRICS_PATH = "/metrics";
+    private static final int MAX_REPORT_BYTES = 256 * 1024;
+    private static final Logger log = LoggerFactory.getLogger("peers");
+
+    private final PeerUses uses;
+    private final RelayMetrics metrics;
+
+    /**
+     * Creates the handler.
+     *
+     * @param uses takes the reports
+     * @param metrics the metrics
+     */
+    public InternalHandler(PeerUses uses, RelayMetrics metrics) {
+        this.uses = uses;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws IOException {
+        String path = Request.getPathInContext(request);
+        if (PeerSystem.PATH.equals(path)) {
+            response.setStatus(takeReport(request) ? HttpStatus.NO_CONTENT_204 : HttpStatus.BAD_REQUEST_400);
+            response.write(true, null, callback);
+            return true;
+        }
+        if (METRICS_PATH.equals(path)) {
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
+            response.write(true, ByteBuffer.wrap(metrics.text()), callback);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean takeReport(Request request) throws IOException {
+        try (InputStream input = Content.Source.asInputStream(request)) {
+            String text = new String(input.readNBytes(MAX_REPORT_BYTES), StandardCharsets.UTF_8);
+            uses.take(Json.read(text, PeerReport.class));
+            return true;
+        } catch (IllegalArgumentException e) {
+            log.warn("A report can't be read: {}", e.getMessage());
+            return false;
+        }
+    }
+}
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -66,7 +66,12 @@
     private static final int FIRST_URGENCY = 3;
 
     private static final int URGENCY_STEP = 2;
-    private static final int LAST_URGENCY = 9;
+
+    /** Behind all that can still be on time. */
+    private static final int LATE_URGENCY = 8;
+
+    /** About how fast the operators' engines read prompts; used to rank requests only. */
+    private static final long READ_TOKENS_PER_MS = 60;
 
     private final RelayContext context;
     private final Request request;
@@ -86,6 +91,7 @@
     private int refusedSends;
     private boolean retryGranted;
     private long sentNanos;
+    private boolean begun;
     private String result = "ok";
     private String lastTarget = "none";
     private String lastFailure = "none";
@@ -281,9 +287,9 @@
             if (deadline.hasPassed(context.clock())) {
                 throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The request's time is over.");
             }
-            Optional<LiveTarget> target =
+            Optional<TargetChooser.Choice> choice =
                     context.chooser().choose(context.directory().snapshot().pool(chosen.name()), needs());
-            if (target.isEmpty()) {
+            if (choice.isEmpty()) {
                 throw gaveUp(ErrorCode.NO_TARGET, "No target of the pool takes requests.");
             }
             boolean first = ran + refusedSends == 0;
@@ -291,7 +297,7 @@
                 throw gaveUp(ErrorCode.OVERLOADED, "The pool has had its share of retries.");
             }
             retryGranted = false;
-            if (attempt(target.get(), found)) {
+            if (attempt(choice.get(), found)) {
                 return;
             }
             boolean mayTryAgain =
@@ -308,7 +314,9 @@
                 marks.sharedPart(),
                 marks.model(),
                 minWeights(),
-                context.directory().loading());
+                context.directory().loading(),
+                marks.tokens(),
+                prepared(pool).engine());
     }
 
     /** Once new weights have been named for long enough, no request may begin on older ones. */
@@ -336,24 +344,27 @@
     }
 
     /** Sends the request to a target; false where another may be tried, as far as the route allows it. */
-    private boolean attempt(LiveTarget target, RelayRoute found) throws IOException {
+    private boolean attempt(TargetChooser.Choice choice, RelayRoute found) throws IOException {
+        LiveTarget target = choice.target();
         long tokens = Math.max(1, marks.tokens());
         tried.add(target.entry().id());
         lastTarget = target.entry().id();
         target.load().opened(tokens);
         Duration limit = deadline.remaining(context.clock());
         sentNanos = context.clock().nanos();
+        begun = false;
         try (TargetExchange sent = new TargetExchange(
-                context.http(), target.entry(), prepared(outgoing), targetHeaders(target, found, limit), limit)) {
+                context.http(), target.entry(), prepared(outgoing), targetHeaders(choice, found, limit), limit)) {
             running(sent);
             return answered(target, found, sent);
         } finally {
-            target.load().closed(tokens);
+            target.load().closed(tokens, begun);
             running(null);
         }
     }
 
-    private HttpFields targetHeaders(LiveTarget target, RelayRoute found, Duration limit) {
+    private HttpFields targetHeaders(TargetChooser.Choice choice, RelayRoute found, Duration limit) {
+        LiveTarget target = choice.target();
         boolean hideKey = workspace != null || !found.anonymous();
         HttpFields.Mutable headers = ForwardedHeaders.copy(
                 request.getHeaders(),
@@ -373,7 +384,7 @@
                                 payer == null ? null : payer.name(),
                                 domain,
                                 domain == null ? null : cacheSource(target, domain),
-                                model == null ? null : urgency(found),
+                                model == null ? null : urgency(found, choice),
                                 limit));
         return headers;
     }
@@ -400,11 +411,19 @@
                 .orElse(null);
     }
 
-    private int urgency(RelayRoute found) {
+    /**
+     * How urgent the target should take the request. One that will miss its objective where it waits goes
+     * behind those that can still make theirs.
+     */
+    private int urgency(RelayRoute found, TargetChooser.Choice choice) {
+        long readMillis = (choice.backlogTokens() + marks.promptTokens()) / READ_TOKENS_PER_MS;
+        if (elapsedMillis() + readMillis > found.objective().toMillis()) {
+            return LATE_URGENCY;
+        }
         RelayWorkspace payer = workspace;
-        int rank =
-                payer != null && payer.priority() != RelayWorkspace.NO_PRIORITY ? payer.priority() : found.priority();
-        return Math.min(LAST_URGENCY, FIRST_URGENCY + URGENCY_STEP * Math.max(0, rank));
+        int own = payer == null ? RelayWorkspace.NO_PRIORITY : payer.priority();
+        int rank = own == RelayWorkspace.NO_PRIORITY ? found.priority() : own;
+        return Math.min(LATE_URGENCY, FIRST_URGENCY + URGENCY_STEP * Math.max(0, rank));
     }
 
     private boolean answered(LiveTarget target, RelayRoute found, TargetExchange sent) throws IOException {
@@ -415,7 +434,8 @@
             failedAttempt(target, e);
             return false;
         }
-        target.load().heard();
+        begun = true;
+        target.load().begun(Math.max(1, marks.tokens()));
         AnswerMarks answer = context.codec().readAnswer(lastTarget, head.getStatus(), head.getHeaders());
         String model = marks.model();
         Long weights = answer.weights();
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
@@ -1,7 +1,9 @@
 package dev.bluebellshunt.relay.target;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import dev.bluebellshunt.relay.model.PoolSpec;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.peer.PeerUses;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -14,44 +16,61 @@
 /**
  * Chooses a target of a pool.
  *
- * <p>Requests that share a prompt prefix go to the target that rendezvous hashing names first, so that
- * all VMs send them to the same one without a message; a target that has clearly more under way than the
- * others passes them on to the next. Plain requests go to the target with the least under way.
+ * <p>Requests that share a prompt prefix have one home engine, which rendezvous hashing names, so that all
+ * VMs send them there without a message. A request leaves its home only where it would start clearly
+ * sooner elsewhere, and then for the next engine of the same order. Plain requests go to the target with
+ * the least under way.
  */
 public final class TargetChooser {
 
-    /** How far above the mean load a target may be and still get the requests of its prefixes. */
-    static final double LOAD_BOUND = 1.5;
+    /**
+     * Prompt tokens that the home may have waiting beyond another engine's: about an eighth of a second of
+     * reading, short against the objectives, long against the noise of single requests.
+     */
+    static final long HOME_TOKENS = 8_000;
+
+    /** Added for each further engine in the order of a prefix, so that what leaves home meets again. */
+    static final long RANK_TOKENS = 500;
+
+    /** What a request beyond an engine's slots counts: it waits until another has ended. */
+    static final long SLOT_TOKENS = 4_000;
 
-    /** Requests above the mean that don't count as overload, so that light load keeps its affinity. */
-    static final int FREE_REQUESTS = 4;
+    /** A VM's own requests are known at once, those of its peers a report later; so they count double. */
+    static final int OWN_WEIGHT = 2;
 
     private final RandomGenerator random;
+    private final PeerUses peers;
 
     /**
      * Creates a chooser.
      *
      * @param random breaks ties
+     * @param peers what the other VMs have under way
      */
-    public TargetChooser(RandomGenerator random) {
+    public TargetChooser(RandomGenerator random, PeerUses peers) {
         this.random = random;
+        this.peers = peers;
     }
 
     /**
      * What a request asks of its target.
      *
      * @param tried targets that it has been sent to
-     * @param affinity what requests of the same target share, or null
+     * @param affinity what requests with the same home share, or null for plain requests
      * @param model the model that it asks for, or null
      * @param minWeights the oldest version of the model's weights that it may begin on
      * @param avoid targets that are better left alone
+     * @param tokens its size
+     * @param engine what the pool's engines can do, null for plain services
      */
     public record Request(
             Set<String> tried,
             @Nullable String affinity,
             @Nullable String model,
             long minWeights,
-            Set<TargetEntry.Incarnation> avoid) {
+            Set<TargetEntry.Incarnation> avoid,
+            long tokens,
+            PoolSpec.@Nullable EngineSpec engine) {
 
         private boolean allows(LiveTarget target) {
             return !target.entry().leaving()
@@ -60,6 +79,14 @@
         }
     }
 
+    /**
+     * A chosen target.
+     *
+     * @param target the target
+     * @param backlogTokens prompt tokens that it has to read before those of the request
+     */
+    public record Choice(LiveTarget target, long backlogTokens) {}
+
     /**
      * Chooses a target.
      *
@@ -67,7 +94,7 @@
      * @param request what the request asks for
      * @return the target, or empty where none takes requests
      */
-    public Optional<LiveTarget> choose(List<LiveTarget> targets, Request request) {
+    public Optional<Choice> choose(List<LiveTarget> targets, Request request) {
         List<LiveTarget> allowed = new ArrayList<>(targets.size());
         for (LiveTarget target : targets) {
             if (request.allows(target)) {
@@ -81,7 +108,7 @@
             return Optional.empty();
         }
         String affinity = request.affinity();
-        return Optional.of(affinity == null ? leastLoaded(candidates) : nearest(candidates, affinity));
+        return Optional.of(affinity == null ? leastLoaded(candidates) : nearest(candidates, affinity, request));
     }
 
     /** The targets with a property, or all where none has it. */
@@ -100,48 +127,63 @@
     public static Optional<LiveTarget> home(List<LiveTarget> targets, String affinity) {
         return targets.stream()
                 .filter(target -> !target.entry().leaving() && target.load().isUsable())
-                .min(Comparator.comparingLong(
-                        target -> score(affinity, target.entry().id())));
+                .min(Comparator.comparingLong(target -> score(affinity, target)));
     }
 
-    private LiveTarget leastLoaded(List<LiveTarget> candidates) {
+    private Choice leastLoaded(List<LiveTarget> candidates) {
         int start = random.nextInt(candidates.size());
         LiveTarget best = candidates.get(start);
+        int least = requests(best);
         for (int i = 1; i < candidates.size(); i++) {
             LiveTarget next = candidates.get((start + i) % candidates.size());
-            if (next.load().open() < best.load().open()) {
+            int under = requests(next);
+            if (under < least) {
                 best = next;
+                least = under;
             }
         }
-        return best;
+        return new Choice(best, 0);
     }
 
-    private LiveTarget nearest(List<LiveTarget> candidates, String affinity) {
-        double total = 0;
-        for (LiveTarget target : candidates) {
-            total += target.load().open();
-        }
-        double bound = total / candidates.size() * LOAD_BOUND + FREE_REQUESTS;
-        LiveTarget best = null;
-        long bestScore = 0;
-        for (LiveTarget target : candidates) {
-            if (target.load().open() > bound) {
-                continue;
-            }
-            long score = score(affinity, target.entry().id());
-            if (best == null || score < bestScore) {
+    private int requests(LiveTarget target) {
+        return OWN_WEIGHT * target.load().use().requests()
+                + peers.at(target.entry().id()).requests();
+    }
+
+    private Choice nearest(List<LiveTarget> candidates, String affinity, Request request) {
+        List<LiveTarget> order = candidates.stream()
+                .sorted(Comparator.comparingLong(target -> score(affinity, target)))
+                .toList();
+        LiveTarget best = order.getFirst();
+        long least = Long.MAX_VALUE;
+        for (int rank = 0; rank < order.size(); rank++) {
+            LiveTarget target = order.get(rank);
+            long cost = backlog(target, request) + (rank == 0 ? 0 : HOME_TOKENS + rank * RANK_TOKENS);
+            if (cost < least) {
                 best = target;
-                bestScore = score;
+                least = cost;
             }
         }
-        return best == null ? leastLoaded(candidates) : best;
+        return new Choice(best, backlog(best, request));
+    }
+
+    /** Prompt tokens that wait at an engine, and what waits for its memory and its slots. */
+    private long backlog(LiveTarget target, Request request) {
+        TargetUse use = target.load().use().plus(peers.at(target.entry().id()));
+        long backlog = use.waitingTokens();
+        PoolSpec.EngineSpec engine = request.engine();
+        if (engine != null && engine.cacheTokens() > 0) {
+            backlog += Math.max(0, use.tokens() + request.tokens() - engine.cacheTokens());
+        }
+        int slots = engine == null ? target.entry().slots() : engine.slots();
+        return backlog + SLOT_TOKENS * Math.max(0, use.requests() + 1 - slots);
     }
 
-    private static long score(String affinity, String target) {
+    private static long score(String affinity, LiveTarget target) {
         return Hashing.komihash5_0()
                 .hashStream()
                 .putString(affinity)
-                .putString(target)
+                .putString(target.entry().id())
                 .getAsLong();
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -28,6 +28,7 @@
     private final Map<String, Long> weights = new HashMap<>();
     private int open;
     private long openTokens;
+    private long waitingTokens;
     private int failuresInRow;
     private long owesSinceNanos;
     private Deadline avoidUntil;
@@ -55,16 +56,29 @@
         }
         open++;
         openTokens += tokens;
+        waitingTokens += tokens;
+    }
+
+    /**
+     * Counts a request that has its first byte.
+     *
+     * @param tokens its size, as it was opened with
+     */
+    public synchronized void begun(long tokens) {
+        waitingTokens -= tokens;
+        owesSinceNanos = clock.nanos();
     }
 
     /**
      * Counts a request that has ended.
      *
      * @param tokens its size, as it was opened with
+     * @param begun whether it had its first byte
      */
-    public synchronized void closed(long tokens) {
+    public synchronized void closed(long tokens, boolean begun) {
         open--;
         openTokens -= tokens;
+        waitingTokens -= begun ? 0 : tokens;
     }
 
     /** Notes that bytes of an answer have come. */
@@ -133,11 +147,12 @@
         return weights.getOrDefault(model, 0L);
     }
 
-    public synchronized int open() {
-        return open;
-    }
-
-    public synchronized long openTokens() {
-        return openTokens;
+    /**
+     * What this VM has under way at the target.
+     *
+     * @return the sum over its open requests
+     */
+    public synchronized TargetUse use() {
+        return new TargetUse(open, openTokens, waitingTokens);
     }
 }
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetUse.java
@@ -0,0 +1,24 @@
+package dev.bluebellshunt.relay.target;
+
+/**
+ * What is under way at a target.
+ *
+ * @param requests requests that have no complete answer yet
+ * @param tokens their tokens
+ * @param waitingTokens the tokens of those that have no first byte yet
+ */
+public record TargetUse(int requests, long tokens, long waitingTokens) {
+
+    /** Nothing is under way. */
+    public static final TargetUse NONE = new TargetUse(0, 0, 0);
+
+    /**
+     * Adds what others have under way.
+     *
+     * @param other what they have
+     * @return the sum
+     */
+    public TargetUse plus(TargetUse other) {
+        return new TargetUse(requests + other.requests, tokens + other.tokens, waitingTokens + other.waitingTokens);
+    }
+}
