Tell peers which engines read which prefixes, and what was admitted

The reports between VMs carry newly read parts with their engines, and what each VM has admitted within the limit's window. Beyond its own part a VM may use what the others leave, as long as all of them report.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -120,13 +120,14 @@
         OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
         TargetDirectory directory = new TargetDirectory(clock);
         PeerUses peerUses = new PeerUses(clock);
-        FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow());
+        FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow(), peerUses);
+        PrefixHolders holders = new PrefixHolders(clock);
         this.drain = new DrainState(clock);
         this.context = new RelayContext(
                 operators,
                 directory,
                 new TargetChooser(random, peerUses),
-                new PrefixHolders(clock),
+                holders,
                 limits,
                 codec,
                 http,
@@ -156,7 +157,15 @@
                 settings.internal().getHostString() + ":" + settings.internal().getPort());
         control.add(fleet);
         control.add(new PeerSystem(
-                peers, fleet, directory, peerUses, control, new Every(clock, random, PEER_INTERVAL), settings.vm()));
+                peers,
+                fleet,
+                directory,
+                peerUses,
+                limits,
+                holders,
+                control,
+                new Every(clock, random, PEER_INTERVAL),
+                settings.vm()));
         control.add(new RolloutSystem(
                 store, engines, operators, directory, control, clock, settings.vm(), settings.turnTime()));
         Every housekeeping = new Every(clock, random, HOUSEKEEPING);
@@ -177,7 +186,7 @@
                 "internal",
                 settings.internal(),
                 HttpServers.configuration(),
-                new InternalHandler(peerUses, context.metrics()));
+                new InternalHandler(peerUses, holders, context.metrics()));
         log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.peer.PeerUses;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -21,12 +22,16 @@
     /** The part of each limit that is spread evenly, whatever the demand. */
     static final double EVEN_PART = 0.15;
 
+    /** The part of a whole limit that may be used beyond a VM's own part. */
+    static final double LENT_PART = 0.92;
+
     /** The part of the allowed retries that is used; the rest covers VMs that restart. */
     static final double RETRY_MARGIN = 0.75;
 
     private final MonotonicClock clock;
     private final RetryBounds bounds;
     private final Duration quotaWindow;
+    private final PeerUses peers;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Map<String, RetryAllowance> allowances = new ConcurrentHashMap<>();
     private volatile int vms = 1;
@@ -46,11 +51,13 @@
      * @param clock the clock to read
      * @param bounds bounds on retries
      * @param quotaWindow the time over which a workspace's limit holds
+     * @param peers what the other VMs have admitted
      */
-    public FleetLimits(MonotonicClock clock, RetryBounds bounds, Duration quotaWindow) {
+    public FleetLimits(MonotonicClock clock, RetryBounds bounds, Duration quotaWindow, PeerUses peers) {
         this.clock = clock;
         this.bounds = bounds;
         this.quotaWindow = quotaWindow;
+        this.peers = peers;
     }
 
     /**
@@ -74,8 +81,7 @@
             double part = demand <= 0
                     ? even
                     : EVEN_PART * even + (1 - EVEN_PART) * own.getOrDefault(workspace.name(), 0.0) / demand;
-            double seconds = (double) quotaWindow.toNanos() / TimeUnit.SECONDS.toNanos(1);
-            quota(workspace.name()).resize((workspace.ratePerSecond() * seconds + workspace.burst()) * part);
+            quota(workspace.name()).resize(limitOf(workspace) * part);
         }
         allowances.values().forEach(allowance -> allowance.resize(extraPerVm()));
     }
@@ -103,7 +109,39 @@
      * @return zero where it is admitted, else how long to wait
      */
     public Duration admit(RelayWorkspace workspace, double cost) {
-        return workspace.isLimited() ? quota(workspace.name()).admit(cost) : Duration.ZERO;
+        return workspace.isLimited() ? quota(workspace.name()).admit(cost, leftByOthers(workspace)) : Duration.ZERO;
+    }
+
+    /**
+     * What the other VMs have left of a workspace's limit, zero unless all of them have reported lately.
+     * Reports are a moment old, so a part of the limit is kept back.
+     */
+    private double leftByOthers(RelayWorkspace workspace) {
+        if (peers.reporting() < vms - 1) {
+            return 0;
+        }
+        return limitOf(workspace) * LENT_PART - peers.admitted(workspace.name());
+    }
+
+    private double limitOf(RelayWorkspace workspace) {
+        double seconds = (double) quotaWindow.toNanos() / TimeUnit.SECONDS.toNanos(1);
+        return workspace.ratePerSecond() * seconds + workspace.burst();
+    }
+
+    /**
+     * What this VM has admitted of each limited workspace within the limit's window.
+     *
+     * @return units by workspace
+     */
+    public Map<String, Double> admitted() {
+        Map<String, Double> units = new HashMap<>();
+        quotas.forEach((workspace, quota) -> {
+            double used = quota.admitted();
+            if (used > 0) {
+                units.put(workspace, used);
+            }
+        });
+        return units;
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
@@ -47,10 +47,14 @@
         limit = newLimit;
     }
 
-    /** Admits a request, and returns zero, or returns how long to wait until it may be admitted. */
-    synchronized Duration admit(double cost) {
+    /**
+     * Admits a request, and returns zero, or returns how long to wait until it may be admitted.
+     *
+     * @param unusedByOthers what is free of the whole limit although this VM's part may be spent
+     */
+    synchronized Duration admit(double cost, double unusedByOthers) {
         pass();
-        if (sum + Math.min(cost, limit * FREE_FOR_LARGE) > limit) {
+        if (sum + Math.min(cost, limit * FREE_FOR_LARGE) > limit && cost > unusedByOthers - sum) {
             return Duration.ofNanos(slotNanos * slotsUntilFree(cost));
         }
         add(cost);
@@ -82,6 +86,12 @@
         sinceTaken += cost;
     }
 
+    /** Units admitted within the window. */
+    synchronized double admitted() {
+        pass();
+        return Math.max(0, sum);
+    }
+
     /** Units admitted since the last call. */
     synchronized double takeAdmitted() {
         double taken = Math.max(0, sinceTaken);
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.peer;
 
 import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.relay.target.PrefixHolders;
 import dev.bluebellshunt.relay.telemetry.RelayMetrics;
 import java.io.IOException;
 import java.io.InputStream;
@@ -24,16 +25,19 @@
     private static final Logger log = LoggerFactory.getLogger("peers");
 
     private final PeerUses uses;
+    private final PrefixHolders holders;
     private final RelayMetrics metrics;
 
     /**
      * Creates the handler.
      *
      * @param uses takes the reports
+     * @param holders takes what others know of prefixes
      * @param metrics the metrics
      */
-    public InternalHandler(PeerUses uses, RelayMetrics metrics) {
+    public InternalHandler(PeerUses uses, PrefixHolders holders, RelayMetrics metrics) {
         this.uses = uses;
+        this.holders = holders;
         this.metrics = metrics;
     }
 
@@ -56,7 +60,9 @@
     private boolean takeReport(Request request) throws IOException {
         try (InputStream input = Content.Source.asInputStream(request)) {
             String text = new String(input.readNBytes(MAX_REPORT_BYTES), StandardCharsets.UTF_8);
-            uses.take(Json.read(text, PeerReport.class));
+            PeerReport report = Json.read(text, PeerReport.class);
+            uses.take(report);
+            holders.learn(report.prefixes());
             return true;
         } catch (IllegalArgumentException e) {
             log.warn("A report can't be read: {}", e.getMessage());
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.peer;
 
 import dev.bluebellshunt.relay.target.TargetUse;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -9,5 +10,12 @@
  * @param vm its name
  * @param sequence grows with each report of a process
  * @param uses what is under way at each target by its id; idle targets are left out
+ * @param admitted what the VM has admitted of each limited workspace within the limit's window
+ * @param prefixes the parts of prompts that engines have read since the last report, by cache domain and engine
  */
-public record PeerReport(String vm, long sequence, Map<String, TargetUse> uses) {}
+public record PeerReport(
+        String vm,
+        long sequence,
+        Map<String, TargetUse> uses,
+        Map<String, Double> admitted,
+        Map<String, Map<String, List<String>>> prefixes) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -4,7 +4,9 @@
 import dev.bluebellshunt.core.control.ControlSystem;
 import dev.bluebellshunt.core.control.Every;
 import dev.bluebellshunt.relay.fleet.FleetSystem;
+import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.target.LiveTarget;
+import dev.bluebellshunt.relay.target.PrefixHolders;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.target.TargetUse;
 import dev.bluebellshunt.transport.JsonHttpClient;
@@ -31,6 +33,8 @@
     private final FleetSystem fleet;
     private final TargetDirectory directory;
     private final PeerUses uses;
+    private final FleetLimits limits;
+    private final PrefixHolders holders;
     private final ControlExecutor control;
     private final Every interval;
     private final String vm;
@@ -45,6 +49,8 @@
      * @param fleet knows the other VMs
      * @param directory knows what this VM has under way
      * @param uses what the others reported
+     * @param limits knows what this VM has admitted
+     * @param holders knows which engines have read which prefixes
      * @param control the control thread
      * @param interval how often to report
      * @param vm this VM's name
@@ -54,6 +60,8 @@
             FleetSystem fleet,
             TargetDirectory directory,
             PeerUses uses,
+            FleetLimits limits,
+            PrefixHolders holders,
             ControlExecutor control,
             Every interval,
             String vm) {
@@ -61,6 +69,8 @@
         this.fleet = fleet;
         this.directory = directory;
         this.uses = uses;
+        this.limits = limits;
+        this.holders = holders;
         this.control = control;
         this.interval = interval;
         this.vm = vm;
@@ -77,7 +87,7 @@
             return;
         }
         wasIdle = own.isEmpty();
-        PeerReport report = new PeerReport(vm, ++sequence, own);
+        PeerReport report = new PeerReport(vm, ++sequence, own, limits.admitted(), holders.takeNews());
         fleet.peers().forEach(address -> send(address, report));
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerUses.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerUses.java
@@ -21,6 +21,8 @@
     private final MonotonicClock clock;
     private final Map<String, Received> reports = new HashMap<>();
     private volatile Map<String, TargetUse> totals = Map.of();
+    private volatile Map<String, Double> admitted = Map.of();
+    private volatile int reporting;
 
     private record Received(PeerReport report, Deadline countsUntil) {}
 
@@ -62,6 +64,12 @@
             received.report().uses().forEach((target, use) -> sums.merge(target, use, TargetUse::plus));
         }
         totals = sums;
+        Map<String, Double> units = new HashMap<>();
+        for (Received received : reports.values()) {
+            received.report().admitted().forEach((workspace, used) -> units.merge(workspace, used, Double::sum));
+        }
+        admitted = units;
+        reporting = reports.size();
     }
 
     /**
@@ -73,4 +81,23 @@
     public TargetUse at(String target) {
         return totals.getOrDefault(target, TargetUse.NONE);
     }
+
+    /**
+     * How many VMs have reported lately.
+     *
+     * @return their number, this VM left out
+     */
+    public int reporting() {
+        return reporting;
+    }
+
+    /**
+     * What the other VMs have admitted of a workspace within its limit's window.
+     *
+     * @param workspace the workspace
+     * @return the sum of their newest reports, in units of the limit
+     */
+    public double admitted(String workspace) {
+        return admitted.getOrDefault(workspace, 0.0);
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/PrefixHolders.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/PrefixHolders.java
@@ -3,13 +3,15 @@
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * Which engine has last read a part of a prompt, as far as this VM sent the request.
+ * Which engine has last read a part of a prompt, as far as this VM sent the request or heard of it.
  *
  * <p>An engine that lacks a part can fetch it from another engine's cache, which takes far less than
  * reading it again. Parts are known within a cache domain, that is under the same walls and weights.
@@ -33,6 +35,8 @@
         }
     };
 
+    private final Map<String, Map<String, List<String>>> news = new HashMap<>();
+
     private record Part(String domain, String id) {}
 
     private record Holder(String target, Deadline keptUntil) {}
@@ -54,10 +58,47 @@
      * @param sharedParts the ids of the shared parts
      */
     public synchronized void read(String target, String domain, List<String> sharedParts) {
-        Holder holder = new Holder(target, Deadline.after(clock, KEPT));
         for (String part : sharedParts) {
-            holders.put(new Part(domain, part), holder);
+            if (put(target, domain, part)) {
+                news.computeIfAbsent(domain, d -> new HashMap<>())
+                        .computeIfAbsent(target, t -> new ArrayList<>())
+                        .add(part);
+            }
+        }
+    }
+
+    /** Notes a holder; false where it has been known for less than half the time that a part is kept. */
+    private boolean put(String target, String domain, String id) {
+        Part part = new Part(domain, id);
+        Holder known = holders.get(part);
+        boolean isNews = known == null
+                || known.keptUntil().remaining(clock).compareTo(KEPT.dividedBy(2)) < 0
+                || !known.target().equals(target);
+        if (isNews) {
+            holders.put(part, new Holder(target, Deadline.after(clock, KEPT)));
         }
+        return isNews;
+    }
+
+    /**
+     * Notes what another VM has learned.
+     *
+     * @param prefixes ids of shared parts by cache domain and engine
+     */
+    public synchronized void learn(Map<String, Map<String, List<String>>> prefixes) {
+        prefixes.forEach((domain, byTarget) ->
+                byTarget.forEach((target, parts) -> parts.forEach(part -> put(target, domain, part))));
+    }
+
+    /**
+     * What this VM has learned since the last call.
+     *
+     * @return ids of shared parts by cache domain and engine
+     */
+    public synchronized Map<String, Map<String, List<String>>> takeNews() {
+        Map<String, Map<String, List<String>>> taken = Map.copyOf(news);
+        news.clear();
+        return taken;
     }
 
     /**
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
@@ -30,7 +30,7 @@
         for (int i = 0; i < 20_000; i++) {
             clock.advance(Duration.ofMillis(random.nextInt(20)));
             long cost = 500L + random.nextInt(12_000);
-            if (quota.admit(cost).isZero()) {
+            if (quota.admit(cost, 0).isZero()) {
                 admitted.add(new long[] {clock.nanos(), cost});
                 sum += cost;
             }
@@ -46,10 +46,10 @@
     @Test
     void restartDoesNotSpendTheLimitAgain() {
         quota.resize(100_000);
-        assertThat(quota.admit(1_000).isZero(), equalTo(false));
+        assertThat(quota.admit(1_000, 0).isZero(), equalTo(false));
         clock.advance(Duration.ofSeconds(4));
         double spent = 0;
-        while (quota.admit(1_000).isZero()) {
+        while (quota.admit(1_000, 0).isZero()) {
             spent += 1_000;
         }
         assertThat(spent, closeTo(50_000, 5_000));
@@ -59,27 +59,38 @@
     void refusalNamesTheTimeAfterWhichTheRequestIsAdmitted() {
         quota.resize(10_000);
         clock.advance(WINDOW.multipliedBy(2));
-        assertThat(quota.admit(9_000).isZero(), equalTo(true));
-        Duration wait = quota.admit(5_000);
+        assertThat(quota.admit(9_000, 0).isZero(), equalTo(true));
+        Duration wait = quota.admit(5_000, 0);
         assertThat(wait.compareTo(WINDOW), lessThanOrEqualTo(0));
         clock.advance(wait.plus(WINDOW.dividedBy(32)));
-        assertThat(quota.admit(5_000).isZero(), equalTo(true));
+        assertThat(quota.admit(5_000, 0).isZero(), equalTo(true));
     }
 
     @Test
     void requestLargerThanThePartIsAdmittedOnceMostOfThePartIsFree() {
         quota.resize(10_000);
         clock.advance(WINDOW.multipliedBy(2));
-        assertThat(quota.admit(60_000).isZero(), equalTo(true));
-        assertThat(quota.admit(1).isZero(), equalTo(false));
+        assertThat(quota.admit(60_000, 0).isZero(), equalTo(true));
+        assertThat(quota.admit(1, 0).isZero(), equalTo(false));
     }
 
     @Test
     void refundMakesRoomAgain() {
         quota.resize(10_000);
         clock.advance(WINDOW.multipliedBy(2));
-        assertThat(quota.admit(9_000).isZero(), equalTo(true));
+        assertThat(quota.admit(9_000, 0).isZero(), equalTo(true));
         quota.refund(9_000);
-        assertThat(quota.admit(9_000).isZero(), equalTo(true));
+        assertThat(quota.admit(9_000, 0).isZero(), equalTo(true));
+    }
+
+    @Test
+    void whatOthersLeaveMayBeUsedBeyondTheOwnPart() {
+        quota.resize(10_000);
+        clock.advance(WINDOW.multipliedBy(2));
+        double spent = 0;
+        while (quota.admit(1_000, 30_000).isZero()) {
+            spent += 1_000;
+        }
+        assertThat(spent, equalTo(30_000.0));
     }
 }
