Refuse at once what can't start in time, and count found weights as old

What waits behind is counted apart. A request whose deadline comes before the engine could start it is refused with the time after which it makes sense to return. Weights found at the start count as named long ago.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -92,6 +92,7 @@
     private boolean retryGranted;
     private long sentNanos;
     private boolean begun;
+    private boolean late;
     private String result = "ok";
     private String lastTarget = "none";
     private String lastFailure = "none";
@@ -292,12 +293,15 @@
             if (choice.isEmpty()) {
                 throw gaveUp(ErrorCode.NO_TARGET, "No target of the pool takes requests.");
             }
+            if (ran == 0) {
+                judge(choice.get(), found);
+            }
             boolean first = ran + refusedSends == 0;
             if (!first && !retryGranted && !context.limits().tryRetry(chosen.name())) {
                 throw gaveUp(ErrorCode.OVERLOADED, "The pool has had its share of retries.");
             }
             retryGranted = false;
-            if (attempt(choice.get(), found)) {
+            if (attempt(choice.get().target(), found)) {
                 return;
             }
             boolean mayTryAgain =
@@ -344,27 +348,25 @@
     }
 
     /** Sends the request to a target; false where another may be tried, as far as the route allows it. */
-    private boolean attempt(TargetChooser.Choice choice, RelayRoute found) throws IOException {
-        LiveTarget target = choice.target();
+    private boolean attempt(LiveTarget target, RelayRoute found) throws IOException {
         long tokens = Math.max(1, marks.tokens());
         tried.add(target.entry().id());
         lastTarget = target.entry().id();
-        target.load().opened(tokens);
+        target.load().opened(tokens, late);
         Duration limit = deadline.remaining(context.clock());
         sentNanos = context.clock().nanos();
         begun = false;
         try (TargetExchange sent = new TargetExchange(
-                context.http(), target.entry(), prepared(outgoing), targetHeaders(choice, found, limit), limit)) {
+                context.http(), target.entry(), prepared(outgoing), targetHeaders(target, found, limit), limit)) {
             running(sent);
             return answered(target, found, sent);
         } finally {
-            target.load().closed(tokens, begun);
+            target.load().closed(tokens, late, begun);
             running(null);
         }
     }
 
-    private HttpFields targetHeaders(TargetChooser.Choice choice, RelayRoute found, Duration limit) {
-        LiveTarget target = choice.target();
+    private HttpFields targetHeaders(LiveTarget target, RelayRoute found, Duration limit) {
         boolean hideKey = workspace != null || !found.anonymous();
         HttpFields.Mutable headers = ForwardedHeaders.copy(
                 request.getHeaders(),
@@ -384,7 +386,7 @@
                                 payer == null ? null : payer.name(),
                                 domain,
                                 domain == null ? null : cacheSource(target, domain),
-                                model == null ? null : urgency(found, choice),
+                                model == null ? null : urgency(found),
                                 limit));
         return headers;
     }
@@ -412,18 +414,37 @@
     }
 
     /**
-     * How urgent the target should take the request. One that will miss its objective where it waits goes
-     * behind those that can still make theirs.
+     * Works out whether the request can be on time where it would wait. One that can't goes behind those
+     * that can; one that would not even start before its deadline is refused at once.
      */
-    private int urgency(RelayRoute found, TargetChooser.Choice choice) {
-        long readMillis = (choice.backlogTokens() + marks.promptTokens()) / READ_TOKENS_PER_MS;
-        if (elapsedMillis() + readMillis > found.objective().toMillis()) {
+    private void judge(TargetChooser.Choice choice, RelayRoute found) {
+        if (marks.model() == null) {
+            return;
+        }
+        long millis = elapsedMillis() + (choice.backlogTokens() + marks.promptTokens()) / READ_TOKENS_PER_MS;
+        late = millis > found.objective().toMillis();
+        long lateMillis = choice.lateTokens() / READ_TOKENS_PER_MS;
+        if (late
+                && millis + lateMillis
+                        > elapsedMillis() + deadline.remaining(context.clock()).toMillis()) {
+            refund();
+            throw ShuntException.notRun(
+                    ErrorCode.OVERLOADED,
+                    Step.ROUTE,
+                    "The engines have more to read than the request's time allows.",
+                    Duration.ofMillis(Math.max(NO_TARGET_RETRY.toMillis(), lateMillis / 2)));
+        }
+    }
+
+    /** How urgent the target should take the request. */
+    private int urgency(RelayRoute found) {
+        if (late) {
             return LATE_URGENCY;
         }
         RelayWorkspace payer = workspace;
         int own = payer == null ? RelayWorkspace.NO_PRIORITY : payer.priority();
         int rank = own == RelayWorkspace.NO_PRIORITY ? found.priority() : own;
-        return Math.min(LATE_URGENCY, FIRST_URGENCY + URGENCY_STEP * Math.max(0, rank));
+        return Math.min(LATE_URGENCY - 1, FIRST_URGENCY + URGENCY_STEP * Math.max(0, rank));
     }
 
     private boolean answered(LiveTarget target, RelayRoute found, TargetExchange sent) throws IOException {
@@ -435,7 +456,7 @@
             return false;
         }
         begun = true;
-        target.load().begun(Math.max(1, marks.tokens()));
+        target.load().begun(Math.max(1, marks.tokens()), late);
         AnswerMarks answer = context.codec().readAnswer(lastTarget, head.getStatus(), head.getHeaders());
         String model = marks.model();
         Long weights = answer.weights();
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -32,6 +32,9 @@
     /** Pause after a failed call, so that a store that is down isn't called in a tight loop. */
     static final Duration RETRY_PAUSE = Duration.ofMillis(200);
 
+    /** What a VM finds at its start may have been named at any time before. */
+    static final Duration LONG_AGO = Duration.ofHours(1);
+
     private static final Logger log = LoggerFactory.getLogger("operators");
 
     private final SharedStore store;
@@ -41,6 +44,7 @@
     private boolean calling;
     private boolean needsRead = true;
     private boolean reachable = true;
+    private boolean knowsAll;
     private long revision;
     private Deadline nextCall;
     private volatile @Nullable RelayConfiguration configuration;
@@ -51,7 +55,7 @@
      * A version of a model's weights that operators named.
      *
      * @param version the version
-     * @param sinceNanos when this VM learned of it
+     * @param sinceNanos when this VM learned of it; long ago for what it found at its start
      */
     public record NamedWeights(long version, long sinceNanos) {}
 
@@ -96,6 +100,7 @@
         }
         revision = Math.max(revision, state.revision());
         apply(state);
+        knowsAll = true;
         knownAsOfNanos = sentNanos;
         call();
     }
@@ -114,7 +119,8 @@
         for (Map.Entry<String, Long> named : state.weights().entrySet()) {
             NamedWeights before = weights.get(named.getKey());
             if (before == null || before.version() < named.getValue()) {
-                weights.put(named.getKey(), new NamedWeights(named.getValue(), clock.nanos()));
+                long sinceNanos = knowsAll ? clock.nanos() : clock.nanos() - LONG_AGO.toNanos();
+                weights.put(named.getKey(), new NamedWeights(named.getValue(), sinceNanos));
                 changed = true;
                 log.info("Weights {} of model {} are named.", named.getValue(), named.getKey());
             }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
@@ -83,9 +83,10 @@
      * A chosen target.
      *
      * @param target the target
-     * @param backlogTokens prompt tokens that it has to read before those of the request
+     * @param backlogTokens prompt tokens that it has to read before those of a request that can be on time
+     * @param lateTokens prompt tokens that it has to read besides before those of one that can't
      */
-    public record Choice(LiveTarget target, long backlogTokens) {}
+    public record Choice(LiveTarget target, long backlogTokens, long lateTokens) {}
 
     /**
      * Chooses a target.
@@ -142,7 +143,7 @@
                 least = under;
             }
         }
-        return new Choice(best, 0);
+        return new Choice(best, 0, 0);
     }
 
     private int requests(LiveTarget target) {
@@ -164,7 +165,8 @@
                 least = cost;
             }
         }
-        return new Choice(best, backlog(best, request));
+        long late = best.load().use().plus(peers.at(best.entry().id())).lateTokens();
+        return new Choice(best, backlog(best, request), late);
     }
 
     /** Prompt tokens that wait at an engine, and what waits for its memory and its slots. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -29,6 +29,7 @@
     private int open;
     private long openTokens;
     private long waitingTokens;
+    private long lateTokens;
     private int failuresInRow;
     private long owesSinceNanos;
     private Deadline avoidUntil;
@@ -49,23 +50,25 @@
      * Counts a request that is sent.
      *
      * @param tokens its size
+     * @param late whether it goes behind all others
      */
-    public synchronized void opened(long tokens) {
+    public synchronized void opened(long tokens, boolean late) {
         if (open == 0) {
             owesSinceNanos = clock.nanos();
         }
         open++;
         openTokens += tokens;
-        waitingTokens += tokens;
+        wait(tokens, late);
     }
 
     /**
      * Counts a request that has its first byte.
      *
      * @param tokens its size, as it was opened with
+     * @param late whether it went behind all others
      */
-    public synchronized void begun(long tokens) {
-        waitingTokens -= tokens;
+    public synchronized void begun(long tokens, boolean late) {
+        wait(-tokens, late);
         owesSinceNanos = clock.nanos();
     }
 
@@ -73,12 +76,23 @@
      * Counts a request that has ended.
      *
      * @param tokens its size, as it was opened with
+     * @param late whether it went behind all others
      * @param begun whether it had its first byte
      */
-    public synchronized void closed(long tokens, boolean begun) {
+    public synchronized void closed(long tokens, boolean late, boolean begun) {
         open--;
         openTokens -= tokens;
-        waitingTokens -= begun ? 0 : tokens;
+        if (!begun) {
+            wait(-tokens, late);
+        }
+    }
+
+    private void wait(long tokens, boolean late) {
+        if (late) {
+            lateTokens += tokens;
+        } else {
+            waitingTokens += tokens;
+        }
     }
 
     /** Notes that bytes of an answer have come. */
@@ -153,6 +167,6 @@
      * @return the sum over its open requests
      */
     public synchronized TargetUse use() {
-        return new TargetUse(open, openTokens, waitingTokens);
+        return new TargetUse(open, openTokens, waitingTokens, lateTokens);
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetUse.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetUse.java
@@ -5,12 +5,13 @@
  *
  * @param requests requests that have no complete answer yet
  * @param tokens their tokens
- * @param waitingTokens the tokens of those that have no first byte yet
+ * @param waitingTokens the tokens of those that have no first byte yet and can still be on time
+ * @param lateTokens the tokens of those that have no first byte yet and go behind all others
  */
-public record TargetUse(int requests, long tokens, long waitingTokens) {
+public record TargetUse(int requests, long tokens, long waitingTokens, long lateTokens) {
 
     /** Nothing is under way. */
-    public static final TargetUse NONE = new TargetUse(0, 0, 0);
+    public static final TargetUse NONE = new TargetUse(0, 0, 0, 0);
 
     /**
      * Adds what others have under way.
@@ -19,6 +20,10 @@
      * @return the sum
      */
     public TargetUse plus(TargetUse other) {
-        return new TargetUse(requests + other.requests, tokens + other.tokens, waitingTokens + other.waitingTokens);
+        return new TargetUse(
+                requests + other.requests,
+                tokens + other.tokens,
+                waitingTokens + other.waitingTokens,
+                lateTokens + other.lateTokens);
     }
 }
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
@@ -0,0 +1,136 @@
+package dev.bluebellshunt.relay.store;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import dev.bluebellshunt.core.testing.ManualClock;
+import dev.bluebellshunt.core.testing.ManualControl;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.testing.Configurations;
+import dev.bluebellshunt.relay.testing.FakeSharedStore;
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a VM may believe of the configuration, through outages, lost history and old answers. */
+class OperatorStateSystemTests {
+
+    private final ManualClock clock = new ManualClock();
+    private final ManualControl control = new ManualControl();
+    private final FakeSharedStore store = new FakeSharedStore(clock);
+    private final OperatorStateSystem system = new OperatorStateSystem(store, control, clock);
+
+    private void run() {
+        system.tick();
+        control.runAll();
+    }
+
+    private long version() {
+        return system.configuration().map(RelayConfiguration::version).orElse(0L);
+    }
+
+    private void publish(long version) {
+        store.publish(new OperatorState(0, Configurations.version(version), Map.of()));
+        control.runAll();
+    }
+
+    @Test
+    void watchBringsChangesAtOnce() {
+        publish(3);
+        run();
+        assertThat(version(), equalTo(3L));
+        publish(7);
+        assertThat(version(), equalTo(7L));
+    }
+
+    @Test
+    void ageCountsFromTheSendingOfTheLastAnsweredCall() {
+        publish(1);
+        run();
+        clock.advance(Duration.ofMillis(1_400));
+        assertThat(system.age(), equalTo(Duration.ofMillis(1_400)));
+        store.endWatches();
+        control.runAll();
+        assertThat(system.age(), equalTo(Duration.ofMillis(1_400)));
+        clock.advance(Duration.ofMillis(100));
+        store.endWatches();
+        control.runAll();
+        assertThat(system.age(), equalTo(Duration.ofMillis(100)));
+    }
+
+    @Test
+    void waitingWatchProvesNothing() {
+        publish(1);
+        run();
+        store.setMode(FakeSharedStore.Mode.SILENT);
+        clock.advance(Duration.ofSeconds(60));
+        run();
+        assertThat(system.age(), greaterThanOrEqualTo(Duration.ofSeconds(60)));
+    }
+
+    @Test
+    void changesWithinLostHistoryAreReadAnew() {
+        publish(1);
+        run();
+        store.loseHistory();
+        store.publish(new OperatorState(0, Configurations.version(9), Map.of()));
+        control.runAll();
+        run();
+        assertThat(version(), equalTo(9L));
+        assertThat(system.age(), lessThan(Duration.ofMillis(1)));
+    }
+
+    @Test
+    void configurationNeverGoesBack() {
+        publish(9);
+        run();
+        publish(4);
+        assertThat(version(), equalTo(9L));
+    }
+
+    @Test
+    void outageKeepsWhatIsKnownAndIsNotCalledInATightLoop() {
+        publish(2);
+        run();
+        store.loseHistory();
+        store.setMode(FakeSharedStore.Mode.DOWN);
+        control.runAll();
+        int before = store.calls();
+        for (int i = 0; i < 100; i++) {
+            clock.advance(Duration.ofMillis(10));
+            run();
+        }
+        assertThat(version(), equalTo(2L));
+        assertThat(store.calls() - before, lessThanOrEqualTo(7));
+        store.setMode(FakeSharedStore.Mode.UP);
+        publish(5);
+        clock.advance(OperatorStateSystem.RETRY_PAUSE);
+        run();
+        assertThat(version(), equalTo(5L));
+    }
+
+    @Test
+    void newestNamedWeightsWinAndKeepTheTimeAtWhichTheyWereLearned() {
+        run();
+        store.publish(new OperatorState(0, null, Map.of("m", 3L)));
+        control.runAll();
+        OperatorStateSystem.NamedWeights learned = system.weights().get("m");
+        clock.advance(Duration.ofSeconds(1));
+        store.publish(new OperatorState(0, null, Map.of("m", 2L)));
+        control.runAll();
+        assertThat(system.weights().get("m"), equalTo(learned));
+        assertThat(system.weights().get("m"), equalTo(new OperatorStateSystem.NamedWeights(3, 0)));
+    }
+
+    @Test
+    void weightsFoundAtTheStartCountAsNamedLongAgo() {
+        store.publish(new OperatorState(0, null, Map.of("m", 3L)));
+        run();
+        assertThat(
+                system.weights().get("m"),
+                equalTo(new OperatorStateSystem.NamedWeights(3, -OperatorStateSystem.LONG_AGO.toNanos())));
+    }
+}
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
@@ -70,7 +70,7 @@
     @Test
     void hotPrefixSpillsOverInsteadOfPilingUp() {
         for (int i = 0; i < 200; i++) {
-            choose("hot").load().opened(2_000);
+            choose("hot").load().opened(2_000, false);
         }
         long most = 0;
         long least = Long.MAX_VALUE;
@@ -85,10 +85,10 @@
     @Test
     void prefixStaysHomeWhileItsEngineIsLittleBehind() {
         LiveTarget home = choose("p");
-        home.load().opened(TargetChooser.HOME_TOKENS / 2);
+        home.load().opened(TargetChooser.HOME_TOKENS / 2, false);
         assertThat(choose("p"), equalTo(home));
-        home.load().begun(TargetChooser.HOME_TOKENS / 2);
-        home.load().opened(TargetChooser.HOME_TOKENS / 2);
+        home.load().begun(TargetChooser.HOME_TOKENS / 2, false);
+        home.load().opened(TargetChooser.HOME_TOKENS / 2, false);
         assertThat(choose("p"), equalTo(home));
     }
 
@@ -96,19 +96,32 @@
     void whatPeersHaveUnderWayCounts() {
         LiveTarget home = choose("p");
         peers.take(new PeerReport(
-                "vm-2", 1, Map.of(home.entry().id(), new TargetUse(20, 40_000, 40_000)), Map.of(), Map.of()));
+                "vm-2", 1, Map.of(home.entry().id(), new TargetUse(20, 40_000, 40_000, 0)), Map.of(), Map.of()));
         assertThat(choose("p"), not(home));
         clock.advance(Duration.ofSeconds(5));
         peers.forgetOld();
         assertThat(choose("p"), equalTo(home));
     }
 
+    @Test
+    void requestsThatAreLateAnywayDoNotHoldUpOthers() {
+        LiveTarget home = choose("p");
+        for (int i = 0; i < 20; i++) {
+            home.load().opened(5_000, true);
+        }
+        TargetChooser.Choice choice =
+                chooser.choose(engines, request(Set.of(), "p", 0, Set.of())).orElseThrow();
+        assertThat(choice.target(), equalTo(home));
+        assertThat(choice.backlogTokens(), equalTo(0L));
+        assertThat(choice.lateTokens(), equalTo(100_000L));
+    }
+
     @Test
     void engineWhoseMemoryIsFullGetsNoMore() {
         LiveTarget home = choose("p");
         for (int i = 0; i < 20; i++) {
-            home.load().opened(12_000);
-            home.load().begun(12_000);
+            home.load().opened(12_000, false);
+            home.load().begun(12_000, false);
         }
         assertThat(choose("p"), not(home));
     }
@@ -149,7 +162,7 @@
     @Test
     void plainRequestsGoWhereLeastIsUnderWay() {
         for (int i = 0; i < 7; i++) {
-            engines.get(i).load().opened(1);
+            engines.get(i).load().opened(1, false);
         }
         assertThat(choose(null), equalTo(engines.get(7)));
     }
@@ -157,7 +170,7 @@
     @Test
     void silentTargetThatOwesAnswersIsLeftAlone() {
         LiveTarget home = choose("p");
-        home.load().opened(1_000);
+        home.load().opened(1_000, false);
         clock.advance(TargetLoad.SILENCE);
         assertThat(choose("p"), not(home));
         home.load().heard();
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
@@ -67,7 +67,7 @@
     void loadIsKeptForAnIncarnationAndNewForTheNext() {
         directory.update(List.of(first));
         TargetLoad load = directory.snapshot().pool("engines").getFirst().load();
-        load.opened(100);
+        load.opened(100, false);
         directory.update(List.of(first));
         assertThat(directory.snapshot().pool("engines").getFirst().load(), sameInstance(load));
         directory.update(List.of(Targets.reborn(first)));
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/Configurations.java
@@ -0,0 +1,24 @@
+package dev.bluebellshunt.relay.testing;
+
+import dev.bluebellshunt.relay.model.CallerLimits;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.model.RelayWorkspace;
+import java.util.List;
+import java.util.Map;
+
+/** Makes configurations for tests. */
+public final class Configurations {
+
+    private Configurations() {}
+
+    public static RelayConfiguration version(long version) {
+        return new RelayConfiguration(version, List.of(), Map.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
+    }
+
+    /** One workspace {@code w} with a limit of tokens. */
+    public static RelayConfiguration limited(double ratePerSecond, double burst) {
+        RelayWorkspace workspace = new RelayWorkspace("w", 0, false, true, 200, ratePerSecond, burst);
+        return new RelayConfiguration(
+                1, List.of(), Map.of(), Map.of("w", workspace), Map.of("key", "w"), CallerLimits.DEFAULT);
+    }
+}
