--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -55,11 +55,11 @@
     /** How often they are read while engines load weights, so that no request names an outdated version. */
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(500);
 
-    /** How often the VMs exchange records; demand shifts between VMs within seconds. */
-    private static final Duration FLEET_INTERVAL = Duration.ofSeconds(2);
+    /** How often the VMs exchange records; between them, their reports say what is left of each limit. */
+    private static final Duration FLEET_INTERVAL = Duration.ofSeconds(3);
 
     /** How often a VM's record is renewed, well within its lease. */
-    private static final Duration FLEET_RENEWAL = Duration.ofSeconds(3);
+    private static final Duration FLEET_RENEWAL = Duration.ofSeconds(4);
 
     /** How often VMs tell each other what they have under way: a few times within a request's life. */
     private static final Duration PEER_INTERVAL = Duration.ofMillis(250);
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -30,13 +30,13 @@
     static final String PREFIX = "bluebellshunt/vms/";
 
     /** How long a VM counts after its last renewal; its part of each limit is kept for it until then. */
-    static final Duration LEASE = Duration.ofSeconds(8);
+    static final Duration LEASE = Duration.ofSeconds(9);
 
     /** How much of the newest measurement goes into the published demand. */
     static final double SMOOTHING = 0.4;
 
     /** A change of the demand by this part of it is published before the next renewal. */
-    static final double SHIFT = 0.35;
+    static final double SHIFT = 1.0;
 
     private static final Logger log = LoggerFactory.getLogger("fleet");
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -327,11 +327,9 @@
     private long minWeights() {
         OperatorStateSystem.NamedWeights named =
                 marks.model() == null ? null : context.operators().weights().get(marks.model());
-        if (named == null) {
-            return 0;
-        }
-        long sinceNanos = context.clock().nanos() - named.sinceNanos();
-        return sinceNanos > context.weightsTime().toNanos() ? named.version() : 0;
+        return named == null
+                ? 0
+                : named.asOf(context.clock().nanos() - context.weightsTime().toNanos());
     }
 
     /** The error for a request that no target has answered, which tells whether one may have run it. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -32,6 +32,9 @@
     /** Pause after a failed call, so that a store that is down isn't called in a tight loop. */
     static final Duration RETRY_PAUSE = Duration.ofMillis(200);
 
+    /** Versions that were named longer ago than any bound for new weights are forgotten, but for the last one. */
+    static final Duration HISTORY = Duration.ofMinutes(1);
+
     /** What a VM finds at its start may have been named at any time before. */
     static final Duration LONG_AGO = Duration.ofHours(1);
 
@@ -56,8 +59,35 @@
      *
      * @param version the version
      * @param sinceNanos when this VM learned of it; long ago for what it found at its start
+     * @param before the version named before it, null where none is known or that time no longer matters
      */
-    public record NamedWeights(long version, long sinceNanos) {}
+    public record NamedWeights(
+            long version, long sinceNanos, @Nullable NamedWeights before) {
+
+        /**
+         * The newest version that was named before a time.
+         *
+         * @param nanos the time
+         * @return that version, zero where none was
+         */
+        public long asOf(long nanos) {
+            for (NamedWeights named = this; named != null; named = named.before) {
+                if (named.sinceNanos - nanos <= 0) {
+                    return named.version;
+                }
+            }
+            return 0;
+        }
+
+        private NamedWeights since(long nanos) {
+            if (before == null) {
+                return this;
+            }
+            boolean ends = before.sinceNanos - nanos <= 0;
+            NamedWeights kept = ends ? new NamedWeights(before.version, before.sinceNanos, null) : before.since(nanos);
+            return new NamedWeights(version, sinceNanos, kept);
+        }
+    }
 
     /**
      * Creates a system that knows nothing.
@@ -106,13 +136,13 @@
     }
 
     private void apply(OperatorState state) {
-        RelayConfiguration next = state.configuration();
+        RelayConfiguration newer = state.configuration();
         RelayConfiguration known = configuration;
-        if (next != null && (known == null || next.version() > known.version())) {
-            configuration = next;
+        if (newer != null && (known == null || newer.version() > known.version())) {
+            configuration = newer;
             log.info(
                     "Configuration {} is in force; it replaces {}.",
-                    next.version(),
+                    newer.version(),
                     known == null ? "none" : known.version());
         }
         boolean changed = false;
@@ -120,7 +150,8 @@
             NamedWeights before = weights.get(named.getKey());
             if (before == null || before.version() < named.getValue()) {
                 long sinceNanos = knowsAll ? clock.nanos() : clock.nanos() - LONG_AGO.toNanos();
-                weights.put(named.getKey(), new NamedWeights(named.getValue(), sinceNanos));
+                NamedWeights next = new NamedWeights(named.getValue(), sinceNanos, before);
+                weights.put(named.getKey(), next.since(clock.nanos() - HISTORY.toNanos()));
                 changed = true;
                 log.info("Weights {} of model {} are named.", named.getValue(), named.getKey());
             }
--- a/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
@@ -122,7 +122,7 @@
         store.publish(new OperatorState(0, null, Map.of("m", 2L)));
         control.runAll();
         assertThat(system.weights().get("m"), equalTo(learned));
-        assertThat(system.weights().get("m"), equalTo(new OperatorStateSystem.NamedWeights(3, 0)));
+        assertThat(system.weights().get("m"), equalTo(new OperatorStateSystem.NamedWeights(3, 0, null)));
     }
 
     @Test
@@ -131,6 +131,20 @@
         run();
         assertThat(
                 system.weights().get("m"),
-                equalTo(new OperatorStateSystem.NamedWeights(3, -OperatorStateSystem.LONG_AGO.toNanos())));
+                equalTo(new OperatorStateSystem.NamedWeights(3, -OperatorStateSystem.LONG_AGO.toNanos(), null)));
+    }
+
+    @Test
+    void eachNamedVersionKeepsItsOwnTime() {
+        run();
+        for (long version = 2; version <= 4; version++) {
+            store.publish(new OperatorState(0, null, Map.of("m", version)));
+            control.runAll();
+            clock.advance(Duration.ofSeconds(3));
+        }
+        OperatorStateSystem.NamedWeights named = system.weights().get("m");
+        assertThat(named == null ? -1 : named.asOf(Duration.ofMillis(2_500).toNanos()), equalTo(2L));
+        assertThat(named == null ? -1 : named.asOf(Duration.ofSeconds(6).toNanos()), equalTo(4L));
+        assertThat(named == null ? 0 : named.asOf(-1), equalTo(0L));
     }
 }
