--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -34,7 +34,6 @@
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -175,11 +174,8 @@
             }
         });
         control.start();
-        HttpConfiguration callerHttp = HttpServers.configuration();
-        callerHttp.setUriCompliance(UriCompliance.UNSAFE);
-        callerHttp.setRequestHeaderSize(CallerLimits.DEFAULT.maxHeaderBytes());
         this.handler = new RelayHandler(context);
-        this.callers = listen("callers", settings.callers(), callerHttp, handler);
+        this.callers = listen("callers", settings.callers(), RelayHandler.httpConfiguration(), handler);
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
         listen("readiness", settings.readiness(), HttpServers.configuration(), new StateHandler(this::isReady));
         listen(
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -5,6 +5,8 @@
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
+import dev.bluebellshunt.relay.model.CallerLimits;
+import dev.bluebellshunt.transport.HttpServers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -13,8 +15,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -43,6 +47,18 @@
         this.context = context;
     }
 
+    /**
+     * How callers' requests are parsed: paths pass as they are written.
+     *
+     * @return settings for the server of this handler
+     */
+    public static HttpConfiguration httpConfiguration() {
+        HttpConfiguration http = HttpServers.configuration();
+        http.setUriCompliance(UriCompliance.UNSAFE);
+        http.setRequestHeaderSize(CallerLimits.DEFAULT.maxHeaderBytes());
+        return http;
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedNanos = context.clock().nanos() - Math.max(0, NanoTime.since(request.getHeadersNanoTime()));
--- a/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
@@ -1,11 +1,16 @@
 package dev.bluebellshunt.transport;
 
 import dev.bluebellshunt.core.close.Closer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executors;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -35,7 +40,13 @@
         threads.setName(name);
         threads.setDaemon(true);
         threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ClientConnector() {
+            @Override
+            protected EndPoint newEndPoint(
+                    SelectableChannel selectable, ManagedSelector selector, SelectionKey selectionKey) {
+                return new StrictEndPoint((SocketChannel) selectable, selector, selectionKey, getScheduler());
+            }
+        };
         connector.setExecutor(threads);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
