--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . bin/java-home.sh
-mvn -B -ntp -q -DskipTests -Pdeploy -pl platform -am package
+mvn -B -ntp -q -Ddeploy -Dmaven.test.skip=true -Pdeploy -pl platform -am package
 
 # Archives the classes that a start loads, so that a restarted VM serves sooner. The process starts against
 # a store that does not answer, and is stopped again.
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
@@ -0,0 +1,123 @@
+package dev.bluebellshunt.relay.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import dev.bluebellshunt.core.testing.ManualClock;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.peer.PeerReport;
+import dev.bluebellshunt.relay.peer.PeerUses;
+import dev.bluebellshunt.relay.testing.Configurations;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** A workspace's limit over a fleet of VMs: even and uneven traffic, a cut between VMs, a heavy sender. */
+class FleetLimitsTests {
+
+    private static final Duration WINDOW = Duration.ofSeconds(8);
+    private static final double RATE = 10_000;
+    private static final double BURST = 10_000;
+    private static final double LIMIT = RATE * 8 + BURST;
+    private static final FleetLimits.RetryBounds RETRIES = new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 50);
+
+    private final ManualClock clock = new ManualClock();
+    private final RelayConfiguration configuration = Configurations.limited(RATE, BURST);
+    private final RelayWorkspace workspace = configuration.workspaceOfKey("key").orElseThrow();
+    private final List<Vm> fleet = new ArrayList<>();
+    private long sequence;
+
+    private final class Vm {
+        private final PeerUses peers = new PeerUses(clock);
+        private final FleetLimits limits = new FleetLimits(clock, RETRIES, WINDOW, peers);
+        private double admitted;
+
+        private void send(double units) {
+            if (limits.admit(workspace, units).isZero()) {
+                admitted += units;
+            }
+        }
+    }
+
+    private void fleet(int count) {
+        for (int i = 0; i < count; i++) {
+            fleet.add(new Vm());
+        }
+        fleet.forEach(vm -> vm.limits.resize(configuration, Map.of(), Map.of(), count));
+        clock.advance(WINDOW.multipliedBy(2));
+    }
+
+    private void report() {
+        sequence++;
+        for (int from = 0; from < fleet.size(); from++) {
+            PeerReport report = new PeerReport(
+                    "vm-" + from, sequence, Map.of(), fleet.get(from).limits.admitted(), Map.of());
+            for (int to = 0; to < fleet.size(); to++) {
+                if (to != from) {
+                    fleet.get(to).peers.take(report);
+                }
+            }
+        }
+    }
+
+    private double admitted() {
+        return fleet.stream().mapToDouble(vm -> vm.admitted).sum();
+    }
+
+    @Test
+    void trafficAtOneVmMayUseNearlyTheWholeLimitWhileAllReport() {
+        fleet(6);
+        report();
+        for (int i = 0; i < 200; i++) {
+            fleet.getFirst().send(1_000);
+        }
+        assertThat(admitted(), closeTo(LIMIT * FleetLimits.LENT_PART, 1_000));
+    }
+
+    @Test
+    void vmThatHearsNoPeersKeepsToItsPart() {
+        fleet(6);
+        for (int i = 0; i < 200; i++) {
+            fleet.forEach(vm -> vm.send(1_000));
+        }
+        assertThat(admitted(), lessThanOrEqualTo(LIMIT));
+    }
+
+    @Test
+    void oldReportsLendNothing() {
+        fleet(3);
+        report();
+        clock.advance(Duration.ofSeconds(5));
+        fleet.forEach(vm -> vm.peers.forgetOld());
+        for (int i = 0; i < 200; i++) {
+            fleet.getFirst().send(1_000);
+        }
+        assertThat(admitted(), lessThanOrEqualTo(LIMIT / 3));
+    }
+
+    @Test
+    void fleetThatReportsKeepsToTheLimitUnderAHeavySender() {
+        fleet(6);
+        for (int i = 0; i < 64; i++) {
+            if (i % 2 == 0) {
+                report();
+            }
+            fleet.forEach(vm -> vm.send(700));
+            clock.advance(Duration.ofMillis(125));
+        }
+        double ofOneReport = 6 * 2 * 700;
+        assertThat(admitted(), lessThanOrEqualTo(LIMIT + ofOneReport));
+    }
+
+    @Test
+    void unlimitedWorkspaceIsNeverRefused() {
+        fleet(1);
+        RelayWorkspace free = new RelayWorkspace("free", 0, false, true, 1, 0, 0);
+        assertThat(fleet.getFirst().limits.admit(free, 1e12), equalTo(Duration.ZERO));
+    }
+}
