Ask the store less: VMs tell each other who gives orders and what engines have loaded

Cause: 3.4 calls a second a VM. While weights were rolled out, each VM that did not give the orders tried to take the lease every 0.7 s (three calls a try) and read all targets every 0.5 s; each VM wrote and read the VMs' records every 3 s, whether or not they had changed.

Change: reports between VMs say who gives orders and which engines have loaded. Only a VM that hears of no holder tries to become it, also while there is no work, so that a successor is ready when work comes. A VM's record is written when it has changed, and read at the price of a stale read. Numbers of a report go as arrays. Now a VM finds its own record of before the restart and counts the demand published in it.

Tests: VMs that hear of the holder leave the store alone; a loaded engine is known before its entry changes; a fleet that restarts counts what it had admitted and no more; a holder cut off from the store no longer claims orders.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -51,15 +51,9 @@
     /** How often the registered targets are read: a target that leaves must be known within two seconds. */
     private static final Duration TARGET_INTERVAL = Duration.ofMillis(1_200);
 
-    /** How often they are read while engines load weights, so that no request names an outdated version. */
-    private static final Duration LOADING_INTERVAL = Duration.ofMillis(500);
-
     /** How often the VMs exchange records; between them, their reports say what is left of each limit. */
     private static final Duration FLEET_INTERVAL = Duration.ofSeconds(3);
 
-    /** How often a VM's record is renewed, well within its lease. */
-    private static final Duration FLEET_RENEWAL = Duration.ofSeconds(4);
-
     /** How often VMs tell each other what they have under way: a few times within a request's life. */
     private static final Duration PEER_INTERVAL = Duration.ofMillis(250);
 
@@ -137,12 +131,7 @@
                 settings.revocationTime().minus(REVOCATION_MARGIN),
                 settings.weightsTime().minus(WEIGHTS_MARGIN));
         control.add(operators);
-        control.add(new TargetListSystem(
-                store,
-                directory,
-                control,
-                new Every(clock, random, TARGET_INTERVAL),
-                new Every(clock, random, LOADING_INTERVAL)));
+        control.add(new TargetListSystem(store, directory, control, new Every(clock, random, TARGET_INTERVAL)));
         FleetSystem fleet = new FleetSystem(
                 store,
                 operators,
@@ -150,11 +139,22 @@
                 control,
                 clock,
                 new Every(clock, random, FLEET_INTERVAL),
-                new Every(clock, random, FLEET_RENEWAL),
                 settings.vm(),
                 settings.failureDomain(),
                 settings.internal().getHostString() + ":" + settings.internal().getPort());
         control.add(fleet);
+        RolloutSystem rollout = new RolloutSystem(
+                store,
+                engines,
+                operators,
+                directory,
+                control,
+                clock,
+                random,
+                peerUses,
+                settings.vm(),
+                settings.turnTime());
+        control.add(rollout);
         control.add(new PeerSystem(
                 peers,
                 fleet,
@@ -162,11 +162,10 @@
                 peerUses,
                 limits,
                 holders,
+                rollout,
                 control,
                 new Every(clock, random, PEER_INTERVAL),
                 settings.vm()));
-        control.add(new RolloutSystem(
-                store, engines, operators, directory, control, clock, settings.vm(), settings.turnTime()));
         Every housekeeping = new Every(clock, random, HOUSEKEEPING);
         control.add(() -> {
             if (housekeeping.isDue()) {
@@ -182,7 +181,7 @@
                 "internal",
                 settings.internal(),
                 HttpServers.configuration(),
-                new InternalHandler(peerUses, holders, context.metrics()));
+                new InternalHandler(peerUses, holders, directory, context.metrics()));
         log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -35,8 +36,8 @@
     /** How much of the newest measurement goes into the published demand. */
     static final double SMOOTHING = 0.4;
 
-    /** A change of the demand by this part of it is published before the next renewal. */
-    static final double SHIFT = 1.0;
+    /** A demand that has grown or fallen by this factor is published. */
+    static final double SHIFT = 1.5;
 
     private static final Logger log = LoggerFactory.getLogger("fleet");
 
@@ -46,7 +47,6 @@
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final Every interval;
-    private final Every renewal;
     private final String vm;
     private final String failureDomain;
     private final String internalAddress;
@@ -56,6 +56,7 @@
     private List<String> peers = List.of();
     private long measuredNanos;
     private boolean calling;
+    private boolean recalled;
 
     /**
      * Creates a system that publishes at its first tick.
@@ -65,8 +66,7 @@
      * @param limits takes this VM's parts
      * @param control the control thread
      * @param clock the clock to read
-     * @param interval how often to read the others' records, and to publish a demand that has shifted
-     * @param renewal how often to publish in any case
+     * @param interval how often to renew this VM's record and to read those of the others
      * @param vm this VM's name
      * @param failureDomain where it runs
      * @param internalAddress where the other VMs reach it
@@ -78,7 +78,6 @@
             ControlExecutor control,
             MonotonicClock clock,
             Every interval,
-            Every renewal,
             String vm,
             String failureDomain,
             String internalAddress) {
@@ -88,7 +87,6 @@
         this.control = control;
         this.clock = clock;
         this.interval = interval;
-        this.renewal = renewal;
         this.published = new VmRecord(vm, failureDomain, internalAddress, Map.of());
         this.vm = vm;
         this.failureDomain = failureDomain;
@@ -102,12 +100,47 @@
             return;
         }
         calling = true;
+        if (!recalled) {
+            control.await(store.readRecords(PREFIX), this::recall, this::failed);
+            return;
+        }
+        exchange();
+    }
+
+    /** Finds what this VM published before it restarted. Its record outlives a restart, and the limits' windows. */
+    private void recall(List<SharedItem> records) {
+        recalled = true;
+        for (SharedItem item : records) {
+            if (item.key().equals(PREFIX + vm)) {
+                read(item).ifPresent(before -> {
+                    limits.recall(before.demand());
+                    demand.putAll(before.demand());
+                    log.info("This VM has restarted; before, it admitted {} a second.", before.demand());
+                });
+            }
+        }
+        exchange();
+    }
+
+    private static Optional<VmRecord> read(SharedItem item) {
+        try {
+            return Optional.of(Json.read(item.value(), VmRecord.class));
+        } catch (IllegalArgumentException e) {
+            log.warn("The record {} can't be read: {}", item.key(), e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void exchange() {
         measure();
-        boolean publish = renewal.isDue() || lease == SharedStore.NO_LEASE || hasShifted();
-        VmRecord own = publish ? new VmRecord(vm, failureDomain, internalAddress, Map.copyOf(demand)) : published;
+        long held = lease;
+        VmRecord own = hasShifted() || held == SharedStore.NO_LEASE
+                ? new VmRecord(vm, failureDomain, internalAddress, Map.copyOf(demand))
+                : published;
         CompletableFuture<Exchanged> exchange = openLease()
-                .thenCompose(open ->
-                        store.putRecord(PREFIX + vm, Json.write(own), open).thenApply(done -> open))
+                .thenCompose(open -> open == held && own.equals(published)
+                        ? CompletableFuture.completedFuture(open)
+                        : store.putRecord(PREFIX + vm, Json.write(own), open).thenApply(done -> open))
                 .thenCompose(open -> store.readRecords(PREFIX).thenApply(items -> new Exchanged(open, items)));
         control.await(exchange, done -> take(done, own), this::failed);
     }
@@ -127,7 +160,8 @@
     private boolean hasShifted() {
         for (Map.Entry<String, Double> entry : demand.entrySet()) {
             double known = published.demand().getOrDefault(entry.getKey(), 0.0);
-            if (Math.abs(entry.getValue() - known) > SHIFT * Math.max(known, 1)) {
+            double now = entry.getValue();
+            if (now > SHIFT * Math.max(known, 1) || known > SHIFT * Math.max(now, 1)) {
                 return true;
             }
         }
@@ -153,11 +187,8 @@
         Map<String, Map<String, Double>> demands = new HashMap<>();
         List<String> others = new ArrayList<>();
         for (SharedItem item : done.records()) {
-            VmRecord other;
-            try {
-                other = Json.read(item.value(), VmRecord.class);
-            } catch (IllegalArgumentException e) {
-                log.warn("The record {} can't be read: {}", item.key(), e.getMessage());
+            VmRecord other = read(item).orElse(null);
+            if (other == null) {
                 continue;
             }
             demands.put(other.vm(), other.demand());
@@ -165,6 +196,9 @@
                 others.add(other.internalAddress());
             }
         }
+        if (!peers.equals(others)) {
+            log.info("{} VMs are registered; the others are at {}.", demands.size(), others);
+        }
         peers = List.copyOf(others);
         operators.configuration().ifPresent(known -> limits.resize(known, vm, demands));
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -37,6 +37,7 @@
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Map<String, RetryAllowance> allowances = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Double>> othersParts = new ConcurrentHashMap<>();
+    private volatile Map<String, Double> demandBefore = Map.of();
     private volatile int vms = 1;
 
     /**
@@ -80,12 +81,24 @@
             }
             Map<String, Double> parts = parts(workspace, demands);
             Double ownPart = parts.remove(own);
-            quota(workspace.name()).resize(ownPart == null ? limitOf(workspace) * EVEN_PART / vms : ownPart);
+            quota(workspace.name())
+                    .resize(
+                            ownPart == null ? limitOf(workspace) * EVEN_PART / vms : ownPart,
+                            demandBefore.getOrDefault(workspace.name(), 0.0) * windowSeconds());
             othersParts.put(workspace.name(), parts);
         }
         allowances.values().forEach(allowance -> allowance.resize(extraPerVm()));
     }
 
+    /**
+     * Notes what this VM had published before it restarted, so that what it had admitted then counts.
+     *
+     * @param demand units a second by workspace
+     */
+    public void recall(Map<String, Double> demand) {
+        demandBefore = Map.copyOf(demand);
+    }
+
     private Map<String, Double> parts(RelayWorkspace workspace, Map<String, Map<String, Double>> demands) {
         double total = 0;
         for (Map<String, Double> demand : demands.values()) {
@@ -161,8 +174,11 @@
     }
 
     private double limitOf(RelayWorkspace workspace) {
-        double seconds = (double) quotaWindow.toNanos() / TimeUnit.SECONDS.toNanos(1);
-        return workspace.ratePerSecond() * seconds + workspace.burst();
+        return workspace.ratePerSecond() * windowSeconds() + workspace.burst();
+    }
+
+    private double windowSeconds() {
+        return (double) quotaWindow.toNanos() / TimeUnit.SECONDS.toNanos(1);
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
@@ -43,14 +43,16 @@
     }
 
     /**
-     * Sets this VM's part of what may be admitted within a window. The first part counts as spent evenly
-     * over the window that has passed, since the VM may have spent it before a restart.
+     * Sets this VM's part of what may be admitted within a window.
+     *
+     * @param newPart the part
+     * @param spentBefore what the VM has spent in the last window before it restarted; taken as spent evenly
      */
-    synchronized void resize(double newPart) {
+    synchronized void resize(double newPart, double spentBefore) {
         if (!sized) {
             sized = true;
-            Arrays.fill(admitted, newPart / admitted.length);
-            sum = newPart;
+            Arrays.fill(admitted, spentBefore / admitted.length);
+            sum = spentBefore;
         }
         part = newPart;
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
@@ -2,6 +2,7 @@
 
 import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.relay.target.PrefixHolders;
+import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.telemetry.RelayMetrics;
 import java.io.IOException;
 import java.io.InputStream;
@@ -26,6 +27,7 @@
 
     private final PeerUses uses;
     private final PrefixHolders holders;
+    private final TargetDirectory directory;
     private final RelayMetrics metrics;
 
     /**
@@ -33,11 +35,13 @@
      *
      * @param uses takes the reports
      * @param holders takes what others know of prefixes
+     * @param directory takes what others know of engines' weights
      * @param metrics the metrics
      */
-    public InternalHandler(PeerUses uses, PrefixHolders holders, RelayMetrics metrics) {
+    public InternalHandler(PeerUses uses, PrefixHolders holders, TargetDirectory directory, RelayMetrics metrics) {
         this.uses = uses;
         this.holders = holders;
+        this.directory = directory;
         this.metrics = metrics;
     }
 
@@ -63,6 +67,7 @@
             PeerReport report = Json.read(text, PeerReport.class);
             uses.take(report);
             holders.learn(report.prefixes());
+            directory.learnWeights(report.loaded());
             return true;
         } catch (IllegalArgumentException e) {
             log.warn("A report can't be read: {}", e.getMessage());
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -38,6 +38,7 @@
     private final PeerUses uses;
     private final FleetLimits limits;
     private final PrefixHolders holders;
+    private final OrderNews orders;
     private final ControlExecutor control;
     private final Every interval;
     private final String vm;
@@ -54,6 +55,7 @@
      * @param uses what the others reported
      * @param limits knows what this VM has admitted
      * @param holders knows which engines have read which prefixes
+     * @param orders knows whether this VM gives orders, and what came of them
      * @param control the control thread
      * @param interval how often to report
      * @param vm this VM's name
@@ -65,6 +67,7 @@
             PeerUses uses,
             FleetLimits limits,
             PrefixHolders holders,
+            OrderNews orders,
             ControlExecutor control,
             Every interval,
             String vm) {
@@ -74,6 +77,7 @@
         this.uses = uses;
         this.limits = limits;
         this.holders = holders;
+        this.orders = orders;
         this.control = control;
         this.interval = interval;
         this.vm = vm;
@@ -86,11 +90,18 @@
         }
         uses.forgetOld();
         Map<String, TargetUse> own = ownUses();
-        idleTicks = own.isEmpty() ? idleTicks + 1 : 0;
+        idleTicks = own.isEmpty() && !orders.givesOrders() ? idleTicks + 1 : 0;
         if (idleTicks % IDLE_TICKS != 0) {
             return;
         }
-        PeerReport report = new PeerReport(vm, ++sequence, own, limits.admitted(), holders.takeNews());
+        PeerReport report = new PeerReport(
+                vm,
+                ++sequence,
+                own,
+                limits.admitted(),
+                holders.takeNews(),
+                orders.givesOrders(),
+                orders.loadedLately());
         fleet.peers().forEach(address -> send(address, report));
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerUses.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerUses.java
@@ -26,6 +26,7 @@
     private final MonotonicClock clock;
     private final Map<String, Received> reports = new HashMap<>();
     private volatile Map<String, TargetUse> totals = Map.of();
+    private volatile boolean othersGiveOrders;
     private final Map<String, Admissions> admissions = new ConcurrentHashMap<>();
 
     private record Received(PeerReport report, Deadline countsUntil) {}
@@ -77,10 +78,13 @@
 
     private void add() {
         Map<String, TargetUse> sums = new HashMap<>();
+        boolean orders = false;
         for (Received received : reports.values()) {
             received.report().uses().forEach((target, use) -> sums.merge(target, use, TargetUse::plus));
+            orders |= received.report().givesOrders();
         }
         totals = sums;
+        othersGiveOrders = orders;
     }
 
     /**
@@ -93,6 +97,15 @@
         return totals.getOrDefault(target, TargetUse.NONE);
     }
 
+    /**
+     * Whether another VM brings the engines to new weights.
+     *
+     * @return true where one has said so lately
+     */
+    public boolean othersGiveOrders() {
+        return othersGiveOrders;
+    }
+
     /**
      * What the other VMs had admitted when they last reported, also those that have been silent since.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The store that all VMs share. Its answers are linearizable.
+ * The store that all VMs share. Its answers are linearizable where a call does not say otherwise.
  *
  * <p>Each future may fail; a write that failed may have taken effect, or may still do so.
  */
@@ -40,7 +40,7 @@
     CompletableFuture<List<TargetEntry>> readTargets();
 
     /**
-     * Reads the VMs' own records.
+     * Reads the VMs' own records, as they are or were some seconds ago.
      *
      * @param prefix how their keys begin
      * @return the records
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -114,6 +114,22 @@
         return snapshot;
     }
 
+    /**
+     * Notes what another VM has learned of engines' weights. May be called by any thread.
+     *
+     * @param loaded versions by engine id and model
+     */
+    public void learnWeights(Map<String, Map<String, Long>> loaded) {
+        if (loaded.isEmpty()) {
+            return;
+        }
+        for (List<LiveTarget> pool : snapshot.byPool().values()) {
+            for (LiveTarget target : pool) {
+                loaded.getOrDefault(target.entry().id(), Map.of()).forEach(target.load()::noteWeights);
+            }
+        }
+    }
+
     /**
      * Says which engines are about to load weights, and are better left alone.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -16,7 +16,6 @@
     private final TargetDirectory directory;
     private final ControlExecutor control;
     private final Every interval;
-    private final Every quick;
     private boolean calling;
 
     /**
@@ -26,22 +25,16 @@
      * @param directory takes the listings
      * @param control the control thread
      * @param interval how often to read
-     * @param quick how often to read while engines load weights
      */
-    public TargetListSystem(
-            SharedStore store, TargetDirectory directory, ControlExecutor control, Every interval, Every quick) {
+    public TargetListSystem(SharedStore store, TargetDirectory directory, ControlExecutor control, Every interval) {
         this.store = store;
         this.directory = directory;
         this.control = control;
         this.interval = interval;
-        this.quick = quick;
     }
 
     @Override
     public void tick() {
-        if (!directory.loading().isEmpty() && quick.isDue()) {
-            interval.hurry();
-        }
         if (calling || !interval.isDue()) {
             return;
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetUse.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetUse.java
@@ -1,5 +1,7 @@
 package dev.bluebellshunt.relay.target;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * What is under way at a target.
  *
@@ -8,6 +10,7 @@
  * @param waitingTokens the tokens of those that have no first byte yet and can still be on time
  * @param lateTokens the tokens of those that have no first byte yet and go behind all others
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY) // names would make up most of what VMs send each other
 public record TargetUse(int requests, long tokens, long waitingTokens, long lateTokens) {
 
     /** Nothing is under way. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/HolderLease.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/HolderLease.java
@@ -45,6 +45,7 @@
     private Deadline nextCall;
     private Deadline settledAt;
     private Deadline ordersUntil;
+    private Deadline aliveUntil;
 
     /**
      * Creates a lease that is not held.
@@ -61,12 +62,18 @@
         this.nextCall = new Deadline(clock.nanos());
         this.settledAt = nextCall;
         this.ordersUntil = nextCall;
+        this.aliveUntil = nextCall;
     }
 
     boolean isHeld() {
         return lease != SharedStore.NO_LEASE;
     }
 
+    /** Whether the store may still keep the lease, as far as this VM can tell. */
+    boolean isAlive() {
+        return isHeld() && !aliveUntil.hasPassed(clock);
+    }
+
     /** Whether this VM may give an order now. */
     boolean mayOrder() {
         return isHeld() && settledAt.hasPassed(clock) && !ordersUntil.hasPassed(clock);
@@ -77,21 +84,12 @@
         return fence;
     }
 
-    /** Renews the lease where this VM holds it, or else tries to take it once in a while. */
-    void keep(Duration pauseBetweenTries) {
+    /** Renews the lease that this VM holds once in a while. */
+    void keep() {
         if (calling || !nextCall.hasPassed(clock)) {
             return;
         }
         calling = true;
-        if (isHeld()) {
-            renew();
-        } else {
-            nextCall = Deadline.after(clock, pauseBetweenTries);
-            take();
-        }
-    }
-
-    private void renew() {
         long sent = clock.nanos();
         nextCall = Deadline.after(clock, RENEWAL);
         control.await(
@@ -99,6 +97,7 @@
                 done -> {
                     calling = false;
                     ordersUntil = new Deadline(sent + ORDER_TIME.toNanos());
+                    aliveUntil = new Deadline(sent + TTL.toNanos());
                 },
                 failure -> {
                     calling = false;
@@ -109,7 +108,12 @@
                 });
     }
 
-    private void take() {
+    /** Tries to take the lease. */
+    void take() {
+        if (calling) {
+            return;
+        }
+        calling = true;
         control.await(
                 store.openLease(TTL)
                         .thenCompose(open -> store.createRecord(KEY, vm, open)
@@ -132,6 +136,7 @@
         lease = taken.lease();
         fence = taken.revision().getAsLong();
         settledAt = Deadline.after(clock, settle);
+        aliveUntil = Deadline.after(clock, TTL);
         nextCall = new Deadline(clock.nanos());
         log.info("This VM gives orders from now on, with fence {}.", fence);
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -2,9 +2,12 @@
 
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.control.ControlSystem;
+import dev.bluebellshunt.core.control.Every;
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.peer.OrderNews;
+import dev.bluebellshunt.relay.peer.PeerUses;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.SharedStore;
 import dev.bluebellshunt.relay.target.TargetDirectory;
@@ -12,6 +15,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,7 +29,7 @@
  * before each order, and the order names the count of orders that the engine then had, so that an
  * order which comes late or twice is not taken. Nothing needs to be stored: a successor reads the same.
  */
-public final class RolloutSystem implements ControlSystem {
+public final class RolloutSystem implements ControlSystem, OrderNews {
 
     /** How often an engine that loads is asked whether it is done. */
     static final Duration POLL = Duration.ofMillis(100);
@@ -36,9 +43,15 @@
     /** After this time a load no longer counts against the parallel ones: its engine hangs. */
     static final Duration LOAD_LIMIT = Duration.ofSeconds(4);
 
-    /** Pause between two tries to become the holder while there is work. */
+    /** Pause between two tries to become the holder while there is work, and none is known. */
     static final Duration TAKE_PAUSE = Duration.ofMillis(700);
 
+    /** The same while there is no work. */
+    static final Duration IDLE_TAKE_PAUSE = Duration.ofSeconds(2);
+
+    /** How long the other VMs are told that an engine has loaded: a few reports, and the age of its entry. */
+    static final Duration TOLD = Duration.ofSeconds(3);
+
     private static final Logger log = LoggerFactory.getLogger("weights");
 
     private final EngineControl engines;
@@ -48,8 +61,12 @@
     private final MonotonicClock clock;
     private final String vm;
     private final HolderLease lease;
+    private final PeerUses peers;
+    private final Every take;
     private final Map<TargetEntry.Incarnation, Progress> progress = new HashMap<>();
-    private boolean everTried;
+    private final Map<String, Loaded> loaded = new HashMap<>();
+
+    private record Loaded(String model, long version, Deadline toldUntil) {}
 
     /**
      * Creates a system.
@@ -60,6 +77,8 @@
      * @param directory knows the engines
      * @param control the control thread
      * @param clock a clock that counts the time in which the VM is suspended
+     * @param random spreads the VMs' tries to become the holder
+     * @param peers knows whether another VM is the holder
      * @param vm this VM's name
      * @param turnTime the least time between the orders of two holders
      */
@@ -70,6 +89,8 @@
             TargetDirectory directory,
             ControlExecutor control,
             MonotonicClock clock,
+            RandomGenerator random,
+            PeerUses peers,
             String vm,
             Duration turnTime) {
         this.engines = engines;
@@ -77,6 +98,9 @@
         this.directory = directory;
         this.control = control;
         this.clock = clock;
+        this.peers = peers;
+        this.take = new Every(clock, random, IDLE_TAKE_PAUSE);
+        take.again(Duration.ofNanos((long) (IDLE_TAKE_PAUSE.toNanos() * random.nextDouble())));
         this.vm = vm;
         this.lease = new HolderLease(store, control, clock, vm, turnTime);
     }
@@ -85,9 +109,13 @@
     public void tick() {
         RolloutPlan plan = RolloutPlan.of(directory.snapshot(), operators.weights());
         directory.setLoading(plan.loading());
-        if (lease.isHeld() || !plan.steps().isEmpty() || !everTried) {
-            everTried = true;
-            lease.keep(TAKE_PAUSE);
+        if (lease.isHeld()) {
+            lease.keep();
+        } else if (!peers.othersGiveOrders() && take.isDue()) {
+            lease.take();
+            if (!plan.steps().isEmpty()) {
+                take.again(TAKE_PAUSE);
+            }
         }
         if (lease.mayOrder()) {
             advance(plan.steps());
@@ -95,10 +123,8 @@
     }
 
     private void advance(List<RolloutPlan.Step> steps) {
-        progress.keySet()
-                .retainAll(steps.stream()
-                        .map(step -> step.target().entry().incarnation())
-                        .toList());
+        forgetAllBut(
+                steps.stream().map(step -> step.target().entry().incarnation()).collect(Collectors.toSet()));
         int loading = 0;
         for (Progress state : progress.values()) {
             loading += state.occupies(clock) ? 1 : 0;
@@ -113,12 +139,26 @@
                     continue;
                 }
                 loading++;
-                state.begin(clock);
+                state.begin(engine, clock);
             }
             ask(engine, state);
         }
     }
 
+    /** Engines that need nothing more have registered their weights, or are gone. */
+    private void forgetAllBut(Set<TargetEntry.Incarnation> engines) {
+        progress.entrySet().removeIf(entry -> {
+            RolloutPlan.Step begun = entry.getValue().step;
+            if (engines.contains(entry.getKey())) {
+                return false;
+            }
+            if (begun != null) {
+                noteLoaded(begun, begun.version());
+            }
+            return true;
+        });
+    }
+
     private void ask(RolloutPlan.Step engine, Progress state) {
         state.calling = true;
         TargetEntry entry = engine.target().entry();
@@ -129,7 +169,7 @@
                     long version = report.weights().getOrDefault(engine.model(), 0L);
                     engine.target().load().noteWeights(engine.model(), version);
                     if (version >= engine.version()) {
-                        state.done(version);
+                        done(engine, state, version);
                     } else if (report.busy() || !lease.mayOrder()) {
                         state.nextCall = Deadline.after(clock, POLL);
                     } else {
@@ -161,7 +201,7 @@
                             entry.id(),
                             answer);
                     switch (answer) {
-                        case HELD -> state.done(engine.version());
+                        case HELD -> done(engine, state, engine.version());
                         case FENCED -> lease.drop();
                         case ACCEPTED, CONFLICT, REJECTED -> {}
                     }
@@ -172,9 +212,32 @@
                 });
     }
 
+    private void done(RolloutPlan.Step engine, Progress state, long version) {
+        state.done(version);
+        noteLoaded(engine, version);
+    }
+
+    private void noteLoaded(RolloutPlan.Step engine, long version) {
+        loaded.put(engine.target().entry().id(), new Loaded(engine.model(), version, Deadline.after(clock, TOLD)));
+    }
+
+    @Override
+    public boolean givesOrders() {
+        return lease.isAlive();
+    }
+
+    @Override
+    public Map<String, Map<String, Long>> loadedLately() {
+        loaded.values().removeIf(last -> last.toldUntil().hasPassed(clock));
+        Map<String, Map<String, Long>> lately = new HashMap<>();
+        loaded.forEach((engine, last) -> lately.put(engine, Map.of(last.model(), last.version())));
+        return lately;
+    }
+
     /** How far one engine is. */
     private static final class Progress {
         private boolean calling;
+        private RolloutPlan.@Nullable Step step;
         private boolean begun;
         private long doneVersion;
         private Deadline nextCall;
@@ -185,7 +248,8 @@
             this.occupiesUntil = nextCall;
         }
 
-        private void begin(MonotonicClock clock) {
+        private void begin(RolloutPlan.Step next, MonotonicClock clock) {
+            step = next;
             begun = true;
             occupiesUntil = Deadline.after(clock, LOAD_LIMIT);
         }
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
@@ -70,7 +70,7 @@
         sequence++;
         for (int from : senders) {
             PeerReport report = new PeerReport(
-                    "vm-" + from, sequence, Map.of(), fleet.get(from).limits.admitted(), Map.of());
+                    "vm-" + from, sequence, Map.of(), fleet.get(from).limits.admitted());
             for (int to = 0; to < fleet.size(); to++) {
                 if (to != from) {
                     fleet.get(to).peers.take(report);
@@ -123,6 +123,29 @@
         assertThat(admitted(), lessThanOrEqualTo(LIMIT));
     }
 
+    @Test
+    void fleetThatRestartsCountsWhatItHadAdmittedAndNoMore() {
+        Map<String, Map<String, Double>> demands = new HashMap<>();
+        for (int i = 0; i < 6; i++) {
+            fleet.add(new Vm());
+            demands.put("vm-" + i, Map.of(workspace.name(), RATE / 12));
+        }
+        for (int i = 0; i < 6; i++) {
+            fleet.get(i).limits.recall(Map.of(workspace.name(), RATE / 12));
+            fleet.get(i).limits.resize(configuration, "vm-" + i, demands);
+        }
+        for (int i = 0; i < 1_200; i++) {
+            if (i % 6 == 0) {
+                report();
+                clock.advance(Duration.ofMillis(20));
+            }
+            fleet.get(i % 6).send(200);
+        }
+        double stillInWindow = RATE / 2 * 4;
+        assertThat(admitted(), lessThanOrEqualTo(LIMIT - stillInWindow));
+        assertThat(admitted(), greaterThanOrEqualTo((LIMIT - stillInWindow) * 0.8));
+    }
+
     @Test
     void oneSilentVmDoesNotEndTheBorrowingOfTheOthers() {
         fleet(6);
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
@@ -27,7 +27,7 @@
 
     @Test
     void noWindowOfAnyStartHoldsMoreThanTheLimitAndOneLargeRequest() {
-        quota.resize(100_000);
+        quota.resize(100_000, 0);
         Random random = new Random(7);
         Deque<long[]> admitted = new ArrayDeque<>();
         double sum = 0;
@@ -50,7 +50,7 @@
 
     @Test
     void restartDoesNotSpendTheLimitAgain() {
-        quota.resize(100_000);
+        quota.resize(100_000, 100_000);
         assertThat(admit(1_000).isZero(), equalTo(false));
         clock.advance(Duration.ofSeconds(4));
         double spent = 0;
@@ -62,7 +62,7 @@
 
     @Test
     void refusalNamesTheTimeAfterWhichTheRequestIsAdmitted() {
-        quota.resize(10_000);
+        quota.resize(10_000, 0);
         clock.advance(WINDOW.multipliedBy(2));
         assertThat(admit(9_000).isZero(), equalTo(true));
         Duration wait = admit(5_000);
@@ -73,7 +73,7 @@
 
     @Test
     void requestLargerThanTheLimitIsAdmittedOnceMostOfTheLimitIsFree() {
-        quota.resize(10_000);
+        quota.resize(10_000, 0);
         clock.advance(WINDOW.multipliedBy(2));
         assertThat(admit(60_000).isZero(), equalTo(true));
         assertThat(admit(1).isZero(), equalTo(false));
@@ -81,7 +81,7 @@
 
     @Test
     void refundMakesRoomAgain() {
-        quota.resize(10_000);
+        quota.resize(10_000, 0);
         clock.advance(WINDOW.multipliedBy(2));
         assertThat(admit(9_000).isZero(), equalTo(true));
         quota.refund(9_000);
@@ -90,7 +90,7 @@
 
     @Test
     void whatOthersLeaveMayBeUsedBeyondTheOwnPart() {
-        quota.resize(10_000);
+        quota.resize(10_000, 0);
         clock.advance(WINDOW.multipliedBy(2));
         WorkspaceQuota.Others others = new WorkspaceQuota.Others(40_000, 10_000, 32_000);
         double spent = 0;
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
@@ -95,8 +95,8 @@
     @Test
     void whatPeersHaveUnderWayCounts() {
         LiveTarget home = choose("p");
-        peers.take(new PeerReport(
-                "vm-2", 1, Map.of(home.entry().id(), new TargetUse(20, 40_000, 40_000, 0)), Map.of(), Map.of()));
+        peers.take(
+                new PeerReport("vm-2", 1, Map.of(home.entry().id(), new TargetUse(20, 40_000, 40_000, 0)), Map.of()));
         assertThat(choose("p"), not(home));
         clock.advance(Duration.ofSeconds(5));
         peers.forgetOld();
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -11,6 +11,8 @@
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControl;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.peer.PeerReport;
+import dev.bluebellshunt.relay.peer.PeerUses;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.TargetDirectory;
@@ -69,6 +71,7 @@
         private final String name;
         private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
         private final TargetDirectory directory = new TargetDirectory(clock);
+        private final PeerUses peers = new PeerUses(clock);
         private final RolloutSystem rollout;
         private final Random random = new Random(5);
         private boolean paused;
@@ -77,7 +80,8 @@
 
         private Vm(String name) {
             this.name = name;
-            this.rollout = new RolloutSystem(store, this, operators, directory, control, clock, name, TURN_TIME);
+            this.rollout = new RolloutSystem(
+                    store, this, operators, directory, control, clock, new Random(vms.size()), peers, name, TURN_TIME);
         }
 
         private void tick() {
@@ -189,6 +193,67 @@
         assertThat(given.size(), equalTo(13));
     }
 
+    @Test
+    void vmsThatHearOfTheHolderLeaveTheStoreAlone() {
+        fleet(8, 13);
+        long sequence = 0;
+        int before = 0;
+        for (int i = 0; i < 100; i++) {
+            if (i == 40) {
+                name(2);
+                before = store.calls();
+            }
+            sequence++;
+            for (Vm from : vms) {
+                PeerReport report = new PeerReport(
+                        from.name,
+                        sequence,
+                        Map.of(),
+                        Map.of(),
+                        Map.of(),
+                        from.rollout.givesOrders(),
+                        from.rollout.loadedLately());
+                vms.stream().filter(to -> to != from).forEach(to -> to.peers.take(report));
+            }
+            run(TICK);
+        }
+        assertThat(versions(), contains(2L));
+        int watches = vms.size();
+        int renewals = 100 * 50 / 500;
+        assertThat(store.calls() - before, lessThanOrEqualTo(watches + renewals));
+    }
+
+    @Test
+    void holderCutOffFromTheStoreNoLongerClaimsToGiveOrders() {
+        fleet(1, 13);
+        assertThat(vms.getFirst().rollout.givesOrders(), is(true));
+        store.setMode(FakeSharedStore.Mode.DOWN);
+        run(HolderLease.TTL.plus(TICK.multipliedBy(2)));
+        assertThat(vms.getFirst().rollout.givesOrders(), is(false));
+    }
+
+    @Test
+    void engineThatHasLoadedIsKnownToTheOthersBeforeItsEntryChanges() {
+        fleet(2, 3);
+        name(2);
+        run(Duration.ofSeconds(4));
+        Vm holder = holder();
+        run(Duration.ofSeconds(4));
+        name(3);
+        run(Duration.ofMillis(700));
+        Map<String, Map<String, Long>> loaded = holder.rollout.loadedLately();
+        assertThat(loaded.keySet().isEmpty(), is(false));
+        TargetDirectory other = new TargetDirectory(clock);
+        other.update(engines.keySet().stream().map(id -> Targets.engine(id, 2)).toList());
+        other.learnWeights(loaded);
+        other.snapshot()
+                .byPool()
+                .values()
+                .forEach(pool -> pool.forEach(target -> assertThat(
+                        target.weights("m"),
+                        equalTo(loaded.containsKey(target.entry().id()) ? 3L : 2L))));
+    }
+
     @Test
     void enginesWithTheOldestWeightsComeFirstWhenVersionsFollowEachOther() {
         fleet(3, 13);
