Leave a prefix at home while one long prompt waits there

Cause: the home of a prefix was left as soon as 8,000 prompt tokens more waited there than elsewhere, less than one long prompt (12,000). The next engine then fetched or read what the home had.

Change: 16,000 tokens, about a quarter of a second of reading. Test: one long prompt that waits does not send the next of its prefix away, two do.

--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetChooser.java
@@ -24,10 +24,10 @@
 public final class TargetChooser {
 
     /**
-     * Prompt tokens that the home may have waiting beyond another engine's: about an eighth of a second of
-     * reading, short against the objectives, long against the noise of single requests.
+     * Prompt tokens that the home may have waiting beyond another engine's: about a quarter of a second of
+     * reading, short against the objectives, and more than one long prompt.
      */
-    static final long HOME_TOKENS = 8_000;
+    static final long HOME_TOKENS = 16_000;
 
     /** Added for each further engine in the order of a prefix, so that what leaves home meets again. */
     static final long RANK_TOKENS = 500;
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetChooserTests.java
@@ -92,6 +92,15 @@
         assertThat(choose("p"), equalTo(home));
     }
 
+    @Test
+    void oneLongPromptThatWaitsDoesNotSendTheNextOfItsPrefixAway() {
+        LiveTarget home = choose("p");
+        home.load().opened(12_000, false);
+        assertThat(choose("p"), equalTo(home));
+        home.load().opened(12_000, false);
+        assertThat(choose("p"), not(home));
+    }
+
     @Test
     void whatPeersHaveUnderWayCounts() {
         LiveTarget home = choose("p");
