Split the relay's call: the caller's request, the headers to a target, the answer's writing

RelayCall had 740 lines and did all of it. CallerRequest reads, checks and charges a request; TargetHeaders makes what a target is sent beside the caller's headers; AnswerWriter passes an answer on. RelayCall (500 lines) is left with choosing targets, trying again and reporting. No change of behaviour; the tests over HTTP are as before.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -4,7 +4,6 @@
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
-import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.relay.model.PoolSpec;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayRoute;
@@ -18,17 +17,12 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.util.Blocker;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
@@ -44,9 +38,6 @@
 
     private static final int READ_BYTES = 8 * 1024;
 
-    /** When to come back while this VM waits for its configuration, or has lost touch with the store. */
-    private static final Duration STALE_RETRY = Duration.ofMillis(300);
-
     /** When to come back while no target takes requests: about what an engine needs to load weights. */
     private static final Duration NO_TARGET_RETRY = Duration.ofMillis(400);
 
@@ -56,37 +47,20 @@
     /** Sends that a target certainly did not run, beyond which the request is refused. */
     private static final int MAX_REFUSED_SENDS = 3;
 
-    private static final int STATUS_TIMEOUT = 408;
-    private static final int STATUS_MISDIRECTED = 421;
-    private static final int STATUS_TOO_MANY = 429;
-    private static final int STATUS_UNAVAILABLE = 503;
     private static final int STATUS_ERROR = 500;
 
-    /** An urgency between the targets' most urgent, 0, and their default, 5, for the first rank. */
-    private static final int FIRST_URGENCY = 3;
-
-    private static final int URGENCY_STEP = 2;
-
-    /** Behind all that can still be on time. */
-    private static final int LATE_URGENCY = 8;
+    /** A caller takes these to mean that the request has not run, which a target's plain failure does not. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
     /** About how fast the operators' engines read prompts; used to rank requests only. */
     private static final long READ_TOKENS_PER_MS = 60;
 
     private final RelayContext context;
-    private final Request request;
-    private final Response response;
+    private final CallerRequest caller;
+    private final AnswerWriter writer;
     private final long arrivedNanos;
     private final Set<String> tried = new HashSet<>();
 
-    private CallerMarks marks = new CallerMarks(null, null, null, null, 0, 0, false, List.of());
-    private @Nullable RelayRoute route;
-    private @Nullable RelayWorkspace workspace;
-    private @Nullable PoolSpec pool;
-    private @Nullable OutgoingRequest outgoing;
-    private Deadline deadline;
-    private double charged;
-    private boolean bodyRead;
     private int ran;
     private int refusedSends;
     private boolean retryGranted;
@@ -96,25 +70,22 @@
     private String result = "ok";
     private String lastTarget = "none";
     private String lastFailure = "none";
-    private byte[] ending = new byte[0];
     private @Nullable TargetExchange exchange;
     private boolean callerGone;
 
     RelayCall(RelayContext context, Request request, Response response, long arrivedNanos) {
         this.context = context;
-        this.request = request;
-        this.response = response;
+        this.caller = new CallerRequest(context, request, arrivedNanos);
+        this.writer = new AnswerWriter(response);
         this.arrivedNanos = arrivedNanos;
-        this.deadline = new Deadline(arrivedNanos);
     }
 
     String requestId() {
-        String id = marks.requestId();
-        return id == null ? "none" : id;
+        return caller.id();
     }
 
     boolean isBodyRead() {
-        return bodyRead;
+        return caller.isBodyRead();
     }
 
     void result(String text) {
@@ -146,146 +117,19 @@
 
     /** Reads the request and checks that it may be served. */
     void prepare() throws IOException {
-        marks = context.codec().readCaller(request.getHeaders());
-        RelayConfiguration configuration = context.operators()
-                .configuration()
-                .orElseThrow(() -> ShuntException.notRun(
-                        ErrorCode.NOT_CONFIGURED,
-                        Step.CONFIGURE,
-                        "This router has not received a configuration yet.",
-                        STALE_RETRY));
-        RelayRoute found = configuration
-                .route(host(), Request.getPathInContext(request))
-                .orElseThrow(() ->
-                        refusedUnlessStale(ErrorCode.UNKNOWN_ROUTE, Step.ROUTE, "No route serves this host and path."));
-        route = found;
-        authenticate(configuration, found);
-        if (marks.requestId() == null) {
-            throw ShuntException.notRun(ErrorCode.MALFORMED_REQUEST, Step.PARSE, "The request has no id.");
-        }
-        Duration patience = marks.patience();
-        Deadline routeEnd = new Deadline(arrivedNanos + found.timeout().toNanos());
-        deadline = patience == null ? routeEnd : routeEnd.earlier(new Deadline(arrivedNanos + patience.toNanos()));
-        outgoing = new OutgoingRequest(
-                request.getMethod(),
-                request.getHttpURI().getPathQuery(),
-                readBody(configuration.limits().maxBodyBytes()));
-        bodyRead = true;
-        pool = choosePool(configuration, found);
-        charge();
-    }
-
-    private String host() {
-        String authority = request.getHeaders().get(HttpHeader.HOST);
-        if (authority == null) {
-            return "";
-        }
-        int colon = authority.lastIndexOf(':');
-        return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
-    }
-
-    /** A refusal that depends on the configuration; while that may be outdated, the caller is asked to come back. */
-    private ShuntException refusedUnlessStale(ErrorCode code, Step step, String message) {
-        return context.isFresh() ? ShuntException.notRun(code, step, message) : stale();
-    }
-
-    private static ShuntException stale() {
-        return ShuntException.notRun(
-                ErrorCode.CONFIGURATION_STALE,
-                Step.AUTHENTICATE,
-                "This router is cut off and can't tell whether keys are still valid.",
-                STALE_RETRY);
-    }
-
-    private void authenticate(RelayConfiguration configuration, RelayRoute found) {
-        if (found.anonymous() || configuration.workspaces().isEmpty()) {
-            return;
-        }
-        if (!context.isFresh()) {
-            throw stale();
-        }
-        String key = marks.key();
-        if (key == null) {
-            throw ShuntException.notRun(ErrorCode.MISSING_KEY, Step.AUTHENTICATE, "The request has no key.");
-        }
-        workspace = configuration
-                .workspaceOfKey(key)
-                .orElseThrow(
-                        () -> ShuntException.notRun(ErrorCode.INVALID_KEY, Step.AUTHENTICATE, "The key is unknown."));
-    }
-
-    private byte[] readBody(int maxBytes) throws IOException {
-        if (request.getLength() > maxBytes) {
-            throw tooLarge(maxBytes);
-        }
-        try (InputStream input = Content.Source.asInputStream(request)) {
-            byte[] body = input.readNBytes(maxBytes + 1);
-            if (body.length > maxBytes) {
-                throw tooLarge(maxBytes);
-            }
-            return body;
-        }
-    }
-
-    private static ShuntException tooLarge(int maxBytes) {
-        return ShuntException.notRun(
-                ErrorCode.BODY_TOO_LARGE, Step.PARSE, "The body is larger than " + maxBytes + " bytes.");
-    }
-
-    /** Splits a route's requests by weight; the same request id always falls to the same pool. */
-    private PoolSpec choosePool(RelayConfiguration configuration, RelayRoute found) {
-        int total = 0;
-        for (RelayRoute.PoolShare share : found.pools()) {
-            total += share.weight();
-        }
-        int point = total <= 0 ? 0 : Math.floorMod(requestId().hashCode(), total);
-        for (RelayRoute.PoolShare share : found.pools()) {
-            point -= share.weight();
-            if (point < 0 || total <= 0) {
-                return configuration.pool(share.pool()).orElse(new PoolSpec(share.pool(), 0, null));
-            }
-        }
-        throw ShuntException.notRun(ErrorCode.NO_TARGET, Step.ROUTE, "The route names no pool.", NO_TARGET_RETRY);
-    }
-
-    private void charge() {
-        RelayWorkspace payer = workspace;
-        if (payer == null) {
-            return;
-        }
-        double cost = !payer.countsTokens() ? 1 : marks.hasTokenCount() ? marks.tokens() : payer.defaultTokens();
-        Duration wait = context.limits().admit(payer, cost);
-        if (!wait.isZero()) {
-            throw ShuntException.notRun(ErrorCode.RATE_LIMITED, Step.LIMIT, "The workspace is over its limit.", wait);
-        }
-        charged = cost;
-    }
-
-    private void refund() {
-        RelayWorkspace payer = workspace;
-        if (payer != null && charged > 0) {
-            context.limits().refund(payer, charged);
-            charged = 0;
-        }
-    }
-
-    private static <T> T prepared(@Nullable T value) {
-        if (value == null) {
-            throw new IllegalStateException("the request has not been prepared");
-        }
-        return value;
+        caller.check();
     }
 
     /** Sends the request until a target answers it, and passes the answer on. */
     void run() throws IOException {
-        RelayRoute found = prepared(route);
-        PoolSpec chosen = prepared(pool);
+        RelayRoute found = caller.route();
+        PoolSpec chosen = caller.pool();
         context.limits().requested(chosen.name());
         while (true) {
             if (isCallerGone()) {
                 throw new CallerGoneException();
             }
-            if (deadline.hasPassed(context.clock())) {
+            if (caller.deadline().hasPassed(context.clock())) {
                 throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The request's time is over.");
             }
             Optional<TargetChooser.Choice> choice =
@@ -315,18 +159,19 @@
     private TargetChooser.Request needs() {
         return new TargetChooser.Request(
                 tried,
-                marks.sharedPart(),
-                marks.model(),
+                caller.marks().sharedPart(),
+                caller.marks().model(),
                 minWeights(),
                 context.directory().loading(),
-                marks.tokens(),
-                prepared(pool).engine());
+                caller.marks().tokens(),
+                caller.pool().engine());
     }
 
     /** Once new weights have been named for long enough, no request may begin on older ones. */
     private long minWeights() {
-        OperatorStateSystem.NamedWeights named =
-                marks.model() == null ? null : context.operators().weights().get(marks.model());
+        OperatorStateSystem.NamedWeights named = caller.marks().model() == null
+                ? null
+                : context.operators().weights().get(caller.marks().model());
         return named == null
                 ? 0
                 : named.asOf(context.clock().nanos() - context.weightsTime().toNanos());
@@ -335,7 +180,7 @@
     /** The error for a request that no target has answered, which tells whether one may have run it. */
     private ShuntException gaveUp(ErrorCode code, String message) {
         if (ran == 0) {
-            refund();
+            caller.refund();
             ErrorCode refusal = code == ErrorCode.TARGET_FAILED || code == ErrorCode.DEADLINE_EXCEEDED
                     ? ErrorCode.OVERLOADED
                     : code;
@@ -347,15 +192,19 @@
 
     /** Sends the request to a target; false where another may be tried, as far as the route allows it. */
     private boolean attempt(LiveTarget target, RelayRoute found) throws IOException {
-        long tokens = Math.max(1, marks.tokens());
+        long tokens = Math.max(1, caller.marks().tokens());
         tried.add(target.entry().id());
         lastTarget = target.entry().id();
         target.load().opened(tokens, late);
-        Duration limit = deadline.remaining(context.clock());
+        Duration limit = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         begun = false;
         try (TargetExchange sent = new TargetExchange(
-                context.http(), target.entry(), prepared(outgoing), targetHeaders(target, found, limit), limit)) {
+                context.http(),
+                target.entry(),
+                caller.outgoing(),
+                TargetHeaders.of(context, caller, target, late, limit),
+                limit)) {
             running(sent);
             return answered(target, found, sent);
         } finally {
@@ -364,47 +213,22 @@
         }
     }
 
-    private HttpFields targetHeaders(LiveTarget target, RelayRoute found, Duration limit) {
-        boolean hideKey = workspace != null || !found.anonymous();
-        HttpFields.Mutable headers = ForwardedHeaders.copy(
-                request.getHeaders(),
-                name -> context.codec().isReserved(name)
-                        || "content-length".equals(name)
-                        || (hideKey && "authorization".equals(name)));
-        RelayWorkspace payer = workspace;
-        String model = marks.model();
-        Long weights = model == null || target.weights(model) == 0 ? null : target.weights(model);
-        CachePlan cache = model == null ? null : CachePlan.of(context, target, marks, payer);
-        context.codec()
-                .writeTarget(
-                        headers,
-                        new TargetMarks(
-                                target.entry().id(),
-                                weights,
-                                payer == null ? null : payer.name(),
-                                cache == null ? null : cache.domain(),
-                                cache == null ? null : cache.source(),
-                                cache == null ? null : cache.store(),
-                                model == null ? null : urgency(found),
-                                limit));
-        return headers;
-    }
-
     /**
      * Works out whether the request can be on time where it would wait. One that can't goes behind those
      * that can; one that would not even start before its deadline is refused at once.
      */
     private void judge(TargetChooser.Choice choice, RelayRoute found) {
-        if (marks.model() == null) {
+        if (caller.marks().model() == null) {
             return;
         }
-        long millis = elapsedMillis() + (choice.backlogTokens() + marks.promptTokens()) / READ_TOKENS_PER_MS;
+        long millis = elapsedMillis() + (choice.backlogTokens() + caller.marks().promptTokens()) / READ_TOKENS_PER_MS;
         late = millis > found.objective().toMillis();
         long lateMillis = choice.lateTokens() / READ_TOKENS_PER_MS;
         if (late
                 && millis + lateMillis
-                        > elapsedMillis() + deadline.remaining(context.clock()).toMillis()) {
-            refund();
+                        > elapsedMillis()
+                                + caller.deadline().remaining(context.clock()).toMillis()) {
+            caller.refund();
             throw ShuntException.notRun(
                     ErrorCode.OVERLOADED,
                     Step.ROUTE,
@@ -413,17 +237,6 @@
         }
     }
 
-    /** How urgent the target should take the request. */
-    private int urgency(RelayRoute found) {
-        if (late) {
-            return LATE_URGENCY;
-        }
-        RelayWorkspace payer = workspace;
-        int own = payer == null ? RelayWorkspace.NO_PRIORITY : payer.priority();
-        int rank = own == RelayWorkspace.NO_PRIORITY ? found.priority() : own;
-        return Math.min(LATE_URGENCY - 1, FIRST_URGENCY + URGENCY_STEP * Math.max(0, rank));
-    }
-
     private boolean answered(LiveTarget target, RelayRoute found, TargetExchange sent) throws IOException {
         org.eclipse.jetty.client.Response head;
         try {
@@ -433,9 +246,9 @@
             return false;
         }
         begun = true;
-        target.load().begun(Math.max(1, marks.tokens()), late);
+        target.load().begun(Math.max(1, caller.marks().tokens()), late);
         AnswerMarks answer = context.codec().readAnswer(lastTarget, head.getStatus(), head.getHeaders());
-        String model = marks.model();
+        String model = caller.marks().model();
         Long weights = answer.weights();
         if (model != null && weights != null && !answer.otherTarget()) {
             target.load().noteWeights(model, weights);
@@ -465,15 +278,15 @@
             target.load().failed();
             if (found.kind() == RouteKind.IDEMPOTENT
                     && ran < found.maxAttempts()
-                    && context.limits().tryRetry(prepared(pool).name())) {
+                    && context.limits().tryRetry(caller.pool().name())) {
                 retryGranted = true;
                 attemptFailed("error", "status " + head.getStatus());
                 return false;
             }
         }
         if (model != null) {
-            String domain = CachePlan.domain(workspace, target.weights(model));
-            context.holders().read(lastTarget, domain, marks.sharedParts());
+            String domain = CachePlan.domain(caller.workspace(), target.weights(model));
+            context.holders().read(lastTarget, domain, caller.marks().sharedParts());
         }
         return passOn(target, found, sent, head);
     }
@@ -487,7 +300,7 @@
         return canRepeat
                 && !target.load().isUsable()
                 && context.clock().nanos() - sentNanos > found.objective().toNanos() / 2
-                && context.limits().tryRetry(prepared(pool).name());
+                && context.limits().tryRetry(caller.pool().name());
     }
 
     private void failedAttempt(LiveTarget target, TargetExchange.TargetFailure failure) throws IOException {
@@ -505,7 +318,7 @@
                 failure.isTimeout() ? "timeout" : failure.isSent() ? "unknown" : "not_connected",
                 String.valueOf(failure.getMessage()));
         target.load().failed();
-        if (failure.isTimeout() && deadline.hasPassed(context.clock())) {
+        if (failure.isTimeout() && caller.deadline().hasPassed(context.clock())) {
             throw gaveUp(ErrorCode.DEADLINE_EXCEEDED, "The target " + lastTarget + " did not answer in time.");
         }
     }
@@ -543,7 +356,7 @@
         }
         begin(head);
         if (first.length < BUFFERED_ANSWER_BYTES && found.kind() != RouteKind.STREAM) {
-            ending = first;
+            writer.keepForEnd(first);
         } else {
             copy(first, body, buffer, target);
         }
@@ -570,11 +383,7 @@
 
     private void begin(org.eclipse.jetty.client.Response head) {
         int status = head.getStatus();
-        boolean promises = status == STATUS_TIMEOUT
-                || status == STATUS_MISDIRECTED
-                || status == STATUS_TOO_MANY
-                || status == STATUS_UNAVAILABLE;
-        if (promises) {
+        if (NOT_RUN_STATUSES.contains(status)) {
             throw new ShuntException(
                     ErrorCode.TARGET_FAILED,
                     Step.FORWARD,
@@ -582,10 +391,8 @@
                     Outcome.UNKNOWN,
                     "The target answered with status " + status + " but may have run the request.");
         }
-        HttpFields.Mutable headers = ForwardedHeaders.copy(head.getHeaders(), name -> false);
-        response.setStatus(status);
-        headers.forEach(field -> response.getHeaders().add(field));
-        noteFirstByte(prepared(route));
+        writer.begin(head);
+        noteFirstByte(caller.route());
         if (status >= STATUS_ERROR) {
             result = "target_error";
         }
@@ -604,7 +411,7 @@
                             "target",
                             lastTarget,
                             "tokens",
-                            marks.tokens(),
+                            caller.marks().tokens(),
                             "ran",
                             ran,
                             "refused_sends",
@@ -618,7 +425,7 @@
 
     /** Passes pieces on as they come. A failure leaves the response unfinished, so that the caller sees the break. */
     private void copy(byte[] first, InputStream body, byte[] buffer, LiveTarget target) throws IOException {
-        write(ByteBuffer.wrap(first));
+        writer.write(ByteBuffer.wrap(first));
         while (true) {
             int read;
             try {
@@ -644,20 +451,13 @@
                 return;
             }
             target.load().heard();
-            write(ByteBuffer.wrap(buffer, 0, read));
-        }
-    }
-
-    private void write(ByteBuffer bytes) throws IOException {
-        try (Blocker.Callback blocker = Blocker.callback()) {
-            response.write(false, bytes, blocker);
-            blocker.block();
+            writer.write(ByteBuffer.wrap(buffer, 0, read));
         }
     }
 
     /** Writes what is left of the answer and completes it. */
-    void writeEnd(Response to, Callback callback) {
-        to.write(true, ByteBuffer.wrap(ending), callback);
+    void writeEnd(Callback callback) {
+        writer.end(callback);
     }
 
     private long elapsedMillis() {
@@ -666,8 +466,9 @@
 
     /** Counts and logs how the request ended. */
     void report() {
-        RelayRoute found = route;
+        RelayRoute found = caller.routeIfKnown();
         String kind = found == null ? "none" : found.kind().name().toLowerCase(Locale.ROOT);
+        RelayWorkspace payer = caller.workspace();
         context.metrics().request(kind, result);
         if ("ok".equals(result)) {
             return;
@@ -679,9 +480,9 @@
                         "route",
                         found == null ? "none" : found.name(),
                         "workspace",
-                        workspace == null ? "none" : workspace.name(),
+                        payer == null ? "none" : payer.name(),
                         "tokens",
-                        marks.tokens(),
+                        caller.marks().tokens(),
                         "target",
                         lastTarget,
                         "reason",
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -77,7 +77,7 @@
             call.prepare();
             watch.attach();
             call.run();
-            finish(call, response, watch, callback);
+            finish(call, watch, callback);
         } catch (ShuntException e) {
             refuse(call, e, response, watch, callback);
         } catch (IOException e) {
@@ -112,13 +112,13 @@
         return !busy.contains(endPoint);
     }
 
-    private static void finish(RelayCall call, Response response, CallerWatch watch, Callback callback) {
+    private static void finish(RelayCall call, CallerWatch watch, Callback callback) {
         watch.detach();
         if (watch.hasSurplus()) {
             callback.failed(new IOException("the caller sent more before it had its answer"));
             return;
         }
-        call.writeEnd(response, callback);
+        call.writeEnd(callback);
     }
 
     private void refuse(
