Keep requests that will wait long from engines with old weights earlier

Ruled out: a wrong time of the acknowledgement (the watch told of it within 30 ms).

Change: a margin of 2.5 s, and 2 s more for requests that go behind all others, which wait longest; a request that turns out to be one of those is chosen for again.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -66,8 +66,8 @@
     /** What a withdrawal may take beyond the age of the configuration: a watch that is late by a second. */
     private static final Duration REVOCATION_MARGIN = Duration.ofMillis(1_100);
 
-    /** Kept back from the time for new weights, so that a request does not begin late at its engine. */
-    private static final Duration WEIGHTS_MARGIN = Duration.ofMillis(1_500);
+    /** Kept back from the time for new weights: the longest time a request was seen to wait at its engine, and more. */
+    private static final Duration WEIGHTS_MARGIN = Duration.ofMillis(2_500);
 
     /** Connections stay open a little longer than callers may leave them idle. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -9,7 +9,6 @@
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.RouteKind;
-import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.TargetChooser;
 import java.io.IOException;
@@ -137,9 +136,16 @@
             if (choice.isEmpty()) {
                 throw gaveUp(ErrorCode.NO_TARGET, "No target of the pool takes requests.");
             }
+            boolean wasLate = late;
             if (ran == 0) {
                 judge(choice.get(), found);
             }
+            if (late != wasLate) {
+                choice = context.chooser().choose(context.directory().snapshot().pool(chosen.name()), needs());
+                if (choice.isEmpty()) {
+                    throw gaveUp(ErrorCode.NO_TARGET, "No target with new weights takes late requests.");
+                }
+            }
             boolean first = ran + refusedSends == 0;
             if (!first && !retryGranted && !context.limits().tryRetry(chosen.name())) {
                 throw gaveUp(ErrorCode.OVERLOADED, "The pool has had its share of retries.");
@@ -167,14 +173,15 @@
                 caller.pool().engine());
     }
 
-    /** Once new weights have been named for long enough, no request may begin on older ones. */
     private long minWeights() {
-        OperatorStateSystem.NamedWeights named = caller.marks().model() == null
-                ? null
-                : context.operators().weights().get(caller.marks().model());
-        return named == null
+        String model = caller.marks().model();
+        return model == null
                 ? 0
-                : named.asOf(context.clock().nanos() - context.weightsTime().toNanos());
+                : OldestWeights.at(
+                        context.operators().weights().get(model),
+                        context.clock().nanos(),
+                        context.weightsTime(),
+                        late);
     }
 
     /** The error for a request that no target has answered, which tells whether one may have run it. */
