Let the successor of an idle holder give orders at once

Cause: a holder that is killed as new weights are named leaves the engines without orders for 4.8 s: 3 s until its lease runs out, and 1.8 s that the successor waits in case the dead one gave orders.

Change: a second record says that the holder gives orders. It is written, on condition that the writer is still the holder, before the first order, renewed with the orders, and outlives them by the time that must lie between two holders. Nobody becomes the holder while it is there. The store decides both; no VM has to know how its predecessor ended.

Tests: the successor of an idle holder begins once the lease has run out; a mark that was written without an answer is written again; the tests of turns and fences as before.

--- a/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -58,14 +59,15 @@
     CompletableFuture<Void> putRecord(String key, String value, long lease);
 
     /**
-     * Writes a record where none of its key exists.
+     * Writes a record where other records are as expected, or are not there.
      *
      * @param key its key
      * @param value its text
      * @param lease the lease that keeps it
-     * @return the revision of the write, or empty where there was a record
+     * @param expected the revision of each record that matters, by key; zero where there must be none
+     * @return the revision of the write, or empty where a record was not as expected
      */
-    CompletableFuture<OptionalLong> createRecord(String key, String value, long lease);
+    CompletableFuture<OptionalLong> writeRecordIf(String key, String value, long lease, Map<String, Long> expected);
 
     /**
      * Opens a lease, which runs from the arrival of the call.
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -117,6 +117,9 @@
                 take.again(TAKE_PAUSE);
             }
         }
+        if (!plan.steps().isEmpty()) {
+            lease.keepOrdering();
+        }
         if (lease.mayOrder()) {
             advance(plan.steps());
         }
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -145,11 +145,15 @@
     }
 
     @Override
-    public CompletableFuture<OptionalLong> createRecord(String key, String value, long lease) {
+    public CompletableFuture<OptionalLong> writeRecordIf(
+            String key, String value, long lease, Map<String, Long> expected) {
         return write(() -> {
             requireLease(lease);
-            if (records.containsKey(key)) {
-                return OptionalLong.empty();
+            for (Map.Entry<String, Long> other : expected.entrySet()) {
+                Stored stored = records.get(other.getKey());
+                if ((stored == null ? 0 : stored.revision()) != other.getValue()) {
+                    return OptionalLong.empty();
+                }
             }
             records.put(key, new Stored(value, ++revision, lease));
             return OptionalLong.of(revision);
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControl;
@@ -223,6 +224,32 @@
         assertThat(store.calls() - before, lessThanOrEqualTo(watches + renewals));
     }
 
+    @Test
+    void successorOfAHolderThatWasIdleBeginsOnceTheLeaseHasRunOut() {
+        fleet(3, 13);
+        Vm first =
+                vms.stream().filter(vm -> vm.rollout.givesOrders()).findFirst().orElseThrow();
+        first.paused = true;
+        name(2);
+        run(HolderLease.TTL.plus(RolloutSystem.TAKE_PAUSE).plus(TICK.multipliedBy(6)));
+        assertThat(given.isEmpty(), is(false));
+        assertThat(given.getFirst().vm(), not(first.name));
+        run(Duration.ofSeconds(4));
+        assertThat(versions(), contains(2L));
+    }
+
+    @Test
+    void holderWhoseMarkWasWrittenWithoutAnAnswerWritesItAgain() {
+        fleet(1, 13);
+        store.setMode(FakeSharedStore.Mode.ANSWERS_LOST);
+        name(2);
+        run(Duration.ofSeconds(1));
+        assertThat(given.isEmpty(), is(true));
+        store.setMode(FakeSharedStore.Mode.UP);
+        run(Duration.ofSeconds(1));
+        assertThat(given.isEmpty(), is(false));
+    }
+
     @Test
     void holderCutOffFromTheStoreNoLongerClaimsToGiveOrders() {
         fleet(1, 13);
