--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CachePlan.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CachePlan.java
@@ -18,7 +18,7 @@
         String domain, @Nullable String source, @Nullable String store) {
 
     /** How large a request's own part may be against the shared ones, so that the store holds all shared parts. */
-    private static final double MOST_OWN = 0.5;
+    private static final double MOST_OWN = 1.5;
 
     /** Requests share cached prompts only within the same walls and weights. */
     static String domain(@Nullable RelayWorkspace payer, long weights) {
