Let running requests go on under new weights where requests wait for engines

Change: the holder orders so while more than 6,000 prompt tokens wait for the mean engine of the pool, as all VMs report it. With it, found on reading: news that an engine has loaded named its id alone, so an engine that restarted within 3 s with its old weights was taken to have the new ones for good. The news names the incarnation now, and an engine that has gone is no longer told as loaded.

Tests: running requests end while there is little to do, and go on where much waits; what an engine had loaded before it restarted is not taken for its weights now.

--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/OrderNews.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/OrderNews.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.peer;
 
-import java.util.Map;
+import dev.bluebellshunt.relay.target.LoadedWeights;
+import java.util.List;
 
 /** What this VM tells the others of the orders that it gives to engines. */
 public interface OrderNews {
@@ -15,7 +16,7 @@
     /**
      * What engines have loaded lately on this VM's orders; the others would learn of it late from the entries.
      *
-     * @return versions by engine id and model
+     * @return what was loaded
      */
-    Map<String, Map<String, Long>> loadedLately();
+    List<LoadedWeights> loadedLately();
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
@@ -1,5 +1,6 @@
 package dev.bluebellshunt.relay.peer;
 
+import dev.bluebellshunt.relay.target.LoadedWeights;
 import dev.bluebellshunt.relay.target.TargetUse;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,7 @@
  * @param admitted what the VM has admitted of each limited workspace within the limit's window
  * @param prefixes the parts of prompts that engines have read since the last report, by cache domain and engine
  * @param givesOrders whether the VM brings the engines to new weights
- * @param loaded the versions that engines have loaded lately on its orders, by engine and model
+ * @param loaded what engines have loaded lately on its orders
  */
 public record PeerReport(
         String vm,
@@ -22,7 +23,7 @@
         Map<String, Double> admitted,
         Map<String, Map<String, List<String>>> prefixes,
         boolean givesOrders,
-        Map<String, Map<String, Long>> loaded) {
+        List<LoadedWeights> loaded) {
 
     /**
      * Creates a report of what is under way and admitted, by a VM that gives no orders.
@@ -33,6 +34,6 @@
      * @param admitted what the VM has admitted of each limited workspace
      */
     public PeerReport(String vm, long sequence, Map<String, TargetUse> uses, Map<String, Double> admitted) {
-        this(vm, sequence, uses, admitted, Map.of(), false, Map.of());
+        this(vm, sequence, uses, admitted, Map.of(), false, List.of());
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -117,15 +117,16 @@
     /**
      * Notes what another VM has learned of engines' weights. May be called by any thread.
      *
-     * @param loaded versions by engine id and model
+     * @param loaded what engines have loaded
      */
-    public void learnWeights(Map<String, Map<String, Long>> loaded) {
-        if (loaded.isEmpty()) {
-            return;
-        }
-        for (List<LiveTarget> pool : snapshot.byPool().values()) {
-            for (LiveTarget target : pool) {
-                loaded.getOrDefault(target.entry().id(), Map.of()).forEach(target.load()::noteWeights);
+    public void learnWeights(List<LoadedWeights> loaded) {
+        for (LoadedWeights news : loaded) {
+            for (List<LiveTarget> pool : snapshot.byPool().values()) {
+                for (LiveTarget target : pool) {
+                    if (target.entry().incarnation().equals(news.engine())) {
+                        target.load().noteWeights(news.model(), news.version());
+                    }
+                }
             }
         }
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/EngineControl.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/EngineControl.java
@@ -16,7 +16,7 @@
     CompletableFuture<EngineReport> report(TargetEntry engine);
 
     /**
-     * Orders an engine to load weights once its running requests are done.
+     * Orders an engine to load weights.
      *
      * @param engine the engine
      * @param order the order
@@ -41,8 +41,18 @@
      * @param holder who gives the order
      * @param fence grows with each holder
      * @param expectedSequence the engine's count of orders, without which it does not take this one
+     * @param running what becomes of its running requests
      */
-    record WeightsOrder(String model, long version, String holder, long fence, long expectedSequence) {}
+    record WeightsOrder(
+            String model, long version, String holder, long fence, long expectedSequence, RunningRequests running) {}
+
+    /** What becomes of requests that run as an engine is ordered to load weights. */
+    enum RunningRequests {
+        /** The engine takes no others until they have ended, and loads then. */
+        END_BEFORE,
+        /** The engine loads at once, and they go on under the new weights. */
+        GO_ON
+    }
 
     /** What an engine answers to an order. */
     enum OrderAnswer {
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutPlan.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutPlan.java
@@ -24,8 +24,8 @@
  */
 record RolloutPlan(List<Step> steps, Set<TargetEntry.Incarnation> loading) {
 
-    /** Engines in their turn, as a part of their pool; about half of them wait for runs to end, the others load. */
-    static final double PARALLEL_PART = 1 / 2.6;
+    /** Engines in their turn, as a part of their pool: about as many as can load at once without slowing each other. */
+    static final double PARALLEL_PART = 1 / 4.0;
 
     /** The least number of engines in their turn. */
     static final int MIN_PARALLEL = 2;
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -10,6 +10,8 @@
 import dev.bluebellshunt.relay.peer.PeerUses;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.target.LiveTarget;
+import dev.bluebellshunt.relay.target.LoadedWeights;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import java.time.Duration;
 import java.util.HashMap;
@@ -52,6 +54,9 @@
     /** How long the other VMs are told that an engine has loaded: a few reports, and the age of its entry. */
     static final Duration TOLD = Duration.ofSeconds(3);
 
+    /** Prompt tokens that wait at the mean engine of a pool that can spare none: about 0.1 s of reading. */
+    static final long PRESSED_TOKENS = 6_000;
+
     private static final Logger log = LoggerFactory.getLogger("weights");
 
     private final EngineControl engines;
@@ -64,9 +69,7 @@
     private final PeerUses peers;
     private final Every take;
     private final Map<TargetEntry.Incarnation, Progress> progress = new HashMap<>();
-    private final Map<String, Loaded> loaded = new HashMap<>();
-
-    private record Loaded(String model, long version, Deadline toldUntil) {}
+    private final Map<LoadedWeights, Deadline> toldUntil = new HashMap<>();
 
     /**
      * Creates a system.
@@ -148,14 +151,14 @@
         }
     }
 
-    /** Engines that need nothing more have registered their weights, or are gone. */
+    /** Engines that need nothing more and are still there have registered their weights. */
     private void forgetAllBut(Set<TargetEntry.Incarnation> engines) {
         progress.entrySet().removeIf(entry -> {
             RolloutPlan.Step begun = entry.getValue().step;
             if (engines.contains(entry.getKey())) {
                 return false;
             }
-            if (begun != null) {
+            if (begun != null && directory.snapshot().serves(entry.getKey())) {
                 noteLoaded(begun, begun.version());
             }
             return true;
@@ -188,17 +191,19 @@
     private void order(RolloutPlan.Step engine, Progress state, long sequence) {
         state.calling = true;
         TargetEntry entry = engine.target().entry();
+        EngineControl.RunningRequests running = runningRequests(entry.pool());
         EngineControl.WeightsOrder order =
-                new EngineControl.WeightsOrder(engine.model(), engine.version(), vm, lease.fence(), sequence);
+                new EngineControl.WeightsOrder(engine.model(), engine.version(), vm, lease.fence(), sequence, running);
         control.await(
                 engines.order(entry, order),
                 answer -> {
                     state.calling = false;
                     state.nextCall = Deadline.after(clock, REPORT_LAG);
                     log.info(
-                            "Order {} with fence {}: weights {} of {} on engine {}: {}.",
+                            "Order {} with fence {}, running requests {}: weights {} of {} on engine {}: {}.",
                             sequence + 1,
                             order.fence(),
+                            running,
                             engine.version(),
                             engine.model(),
                             entry.id(),
@@ -215,13 +220,30 @@
                 });
     }
 
+    /**
+     * An engine that lets its running requests end takes no others for seconds. While requests wait for engines,
+     * that costs more than answers that begin under one version and end under another.
+     */
+    private EngineControl.RunningRequests runningRequests(String pool) {
+        List<LiveTarget> targets = directory.snapshot().pool(pool);
+        long waiting = 0;
+        for (LiveTarget target : targets) {
+            waiting += target.load().use().plus(peers.at(target.entry().id())).waitingTokens();
+        }
+        return waiting > PRESSED_TOKENS * targets.size()
+                ? EngineControl.RunningRequests.GO_ON
+                : EngineControl.RunningRequests.END_BEFORE;
+    }
+
     private void done(RolloutPlan.Step engine, Progress state, long version) {
         state.done(version);
         noteLoaded(engine, version);
     }
 
     private void noteLoaded(RolloutPlan.Step engine, long version) {
-        loaded.put(engine.target().entry().id(), new Loaded(engine.model(), version, Deadline.after(clock, TOLD)));
+        toldUntil.put(
+                new LoadedWeights(engine.target().entry().incarnation(), engine.model(), version),
+                Deadline.after(clock, TOLD));
     }
 
     @Override
@@ -230,11 +252,9 @@
     }
 
     @Override
-    public Map<String, Map<String, Long>> loadedLately() {
-        loaded.values().removeIf(last -> last.toldUntil().hasPassed(clock));
-        Map<String, Map<String, Long>> lately = new HashMap<>();
-        loaded.forEach((engine, last) -> lately.put(engine, Map.of(last.model(), last.version())));
-        return lately;
+    public List<LoadedWeights> loadedLately() {
+        toldUntil.values().removeIf(until -> until.hasPassed(clock));
+        return List.copyOf(toldUntil.keySet());
     }
 
     /** How far one engine is. */
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
@@ -80,4 +80,15 @@
         directory.update(List.of());
         assertThat(known(), empty());
     }
+
+    @Test
+    void whatAnEngineHadLoadedBeforeItRestartedIsNotTakenForItsWeightsNow() {
+        directory.update(List.of(Targets.reborn(first), second));
+        directory.learnWeights(List.of(
+                new LoadedWeights(first.incarnation(), "m", 2), new LoadedWeights(second.incarnation(), "m", 2)));
+        List<Long> weights = directory.snapshot().pool("engines").stream()
+                .map(target -> target.weights("m"))
+                .toList();
+        assertThat(weights, contains(1L, 2L));
+    }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -16,7 +16,9 @@
 import dev.bluebellshunt.relay.peer.PeerUses;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.target.LoadedWeights;
 import dev.bluebellshunt.relay.target.TargetDirectory;
+import dev.bluebellshunt.relay.target.TargetUse;
 import dev.bluebellshunt.relay.target.Targets;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
@@ -63,7 +65,7 @@
         }
     }
 
-    private record Given(String vm, long fence, long atNanos, String engine) {}
+    private record Given(String vm, long fence, long atNanos, String engine, EngineControl.RunningRequests running) {}
 
     private final List<Given> given = new ArrayList<>();
 
@@ -103,7 +105,7 @@
 
         @Override
         public CompletableFuture<OrderAnswer> order(TargetEntry target, WeightsOrder order) {
-            given.add(new Given(name, order.fence(), clock.nanos(), target.id()));
+            given.add(new Given(name, order.fence(), clock.nanos(), target.id(), order.running()));
             if (random.nextDouble() < lostOrders) {
                 lateOrders.add(() -> take(engine(target), order));
                 return CompletableFuture.failedFuture(new IllegalStateException("no answer"));
@@ -194,6 +196,30 @@
         assertThat(given.size(), equalTo(13));
     }
 
+    @Test
+    void runningRequestsEndBeforeEnginesLoadWhileThereIsLittleToDo() {
+        fleet(1, 13);
+        name(2);
+        run(Duration.ofSeconds(4));
+        assertThat(
+                given.stream().map(Given::running).distinct().toList(),
+                contains(EngineControl.RunningRequests.END_BEFORE));
+    }
+
+    @Test
+    void runningRequestsGoOnWhereMoreWaitsThanEnginesCanReadSoon() {
+        fleet(1, 13);
+        Map<String, TargetUse> uses = new HashMap<>();
+        engines.keySet().forEach(id -> uses.put(id, new TargetUse(10, 100_000, RolloutSystem.PRESSED_TOKENS + 1, 0)));
+        name(2);
+        for (int i = 0; i < 80; i++) {
+            vms.getFirst().peers.take(new PeerReport("other", i, uses, Map.of()));
+            run(TICK);
+        }
+        assertThat(
+                given.stream().map(Given::running).distinct().toList(), contains(EngineControl.RunningRequests.GO_ON));
+    }
+
     @Test
     void vmsThatHearOfTheHolderLeaveTheStoreAlone() {
         fleet(8, 13);
@@ -268,17 +294,20 @@
         run(Duration.ofSeconds(4));
         name(3);
         run(Duration.ofMillis(700));
-        Map<String, Map<String, Long>> loaded = holder.rollout.loadedLately();
-        assertThat(loaded.keySet().isEmpty(), is(false));
+        List<TargetEntry.Incarnation> newest = holder.rollout.loadedLately().stream()
+                .filter(news -> news.version() == 3)
+                .map(LoadedWeights::engine)
+                .toList();
+        assertThat(newest.isEmpty(), is(false));
         TargetDirectory other = new TargetDirectory(clock);
         other.update(engines.keySet().stream().map(id -> Targets.engine(id, 2)).toList());
-        other.learnWeights(loaded);
+        other.learnWeights(holder.rollout.loadedLately());
         other.snapshot()
                 .byPool()
                 .values()
                 .forEach(pool -> pool.forEach(target -> assertThat(
                         target.weights("m"),
-                        equalTo(loaded.containsKey(target.entry().id()) ? 3L : 2L))));
+                        equalTo(newest.contains(target.entry().incarnation()) ? 3L : 2L))));
     }
 
     @Test
