Test the relay's process: its start while the store is away, after a kill, and its orderly stop

The daemon tells its ports to tests of its package, so that they can leave them open; nothing else of it changes.

Tests: a process that knows nothing refuses with Retry-After and serves once the store answers; one that is started after its predecessor was killed serves; one that stops says so to the balancer, still serves meanwhile and asks callers to close, closes idle connections, refuses late callers and ends what it had begun.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -88,6 +88,7 @@
     private final RelayContext context;
     private final RelayHandler handler;
     private final ServerConnector callers;
+    private final ServerConnector readiness;
     private Duration idleTimeout = CallerLimits.DEFAULT.idleTimeout();
 
     /**
@@ -184,7 +185,8 @@
         this.handler = new RelayHandler(context);
         this.callers = listen("callers", settings.callers(), RelayHandler.httpConfiguration(), handler);
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
-        listen("readiness", settings.readiness(), HttpServers.configuration(), new StateHandler(this::isReady));
+        this.readiness =
+                listen("readiness", settings.readiness(), HttpServers.configuration(), new StateHandler(this::isReady));
         listen(
                 "internal",
                 settings.internal(),
@@ -197,6 +199,16 @@
         return HttpServers.start(name, address, http, handler, new ErrorHandler(), closer);
     }
 
+    /** The port that callers connect to, also where the settings leave it open. */
+    int callersPort() {
+        return callers.getLocalPort();
+    }
+
+    /** The port of the balancer's questions, also where the settings leave it open. */
+    int readinessPort() {
+        return readiness.getLocalPort();
+    }
+
     private boolean isReady() {
         return !drain.isDraining()
                 && context.isFresh()
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -0,0 +1,232 @@
+package dev.bluebellshunt.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.notNullValue;
+
+import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.error.Step;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.limit.FleetLimits;
+import dev.bluebellshunt.relay.model.CallerLimits;
+import dev.bluebellshunt.relay.model.PoolSpec;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.model.RelayRoute;
+import dev.bluebellshunt.relay.model.RouteKind;
+import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.testing.FakeSharedStore;
+import dev.bluebellshunt.relay.testing.PlainHeaders;
+import dev.bluebellshunt.relay.weights.EngineControl;
+import dev.bluebellshunt.transport.HttpClients;
+import dev.bluebellshunt.transport.HttpServers;
+import dev.bluebellshunt.transport.JsonHttpClient;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A whole process: its start while the store is away, its start after a kill, and its orderly stop. */
+class RelayDaemonTests {
+
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    /** Ends a test that hangs. */
+    private static final long WAIT_SECONDS = 20;
+
+    private final Closer closer = new Closer();
+    private final AtomicLong nanos = new AtomicLong(1);
+    private final MonotonicClock clock = nanos::get;
+    private final FakeSharedStore store = new FakeSharedStore(clock);
+    private final HttpClient http = HttpClients.start("test", closer);
+    private final CountDownLatch slowArrived = new CountDownLatch(1);
+    private final CountDownLatch slowMayEnd = new CountDownLatch(1);
+
+    private final class Target extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            if (Request.getPathInContext(request).endsWith("slow")) {
+                slowArrived.countDown();
+                slowMayEnd.await(WAIT_SECONDS, TimeUnit.SECONDS);
+            }
+            response.getHeaders().put("t-seal", "1").put("t-id", "id-1");
+            response.write(true, ByteBuffer.wrap("fine".getBytes(StandardCharsets.UTF_8)), callback);
+            return true;
+        }
+    }
+
+    @BeforeEach
+    void publish() {
+        int port = HttpServers.start(
+                        "target", ANY_PORT, HttpServers.configuration(), new Target(), new ErrorHandler(), closer)
+                .getLocalPort();
+        store.setTargets(List.of(new TargetEntry("t", 1, "apps", "127.0.0.1", port, "fd-1", 6, false, Map.of())));
+        RelayRoute route = new RelayRoute(
+                "r",
+                "h.example",
+                "/open/",
+                RouteKind.ONCE,
+                Duration.ofSeconds(15),
+                Duration.ofSeconds(10),
+                0,
+                1,
+                true,
+                false,
+                List.of(new RelayRoute.PoolShare("apps", 1)));
+        RelayConfiguration configuration = new RelayConfiguration(
+                1,
+                List.of(route),
+                Map.of("apps", new PoolSpec("apps", 0, null)),
+                Map.of(),
+                Map.of(),
+                List.of(),
+                CallerLimits.DEFAULT);
+        store.publish(new OperatorState(0, configuration, Map.of()));
+    }
+
+    @AfterEach
+    void stop() {
+        slowMayEnd.countDown();
+        closer.close();
+    }
+
+    private RelayDaemon start() {
+        RelaySettings settings = new RelaySettings(
+                "vm-1",
+                "fd-1",
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 50),
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(8));
+        EngineControl noEngines = new EngineControl() {
+            @Override
+            public CompletableFuture<EngineReport> report(TargetEntry engine) {
+                return CompletableFuture.failedFuture(new IllegalStateException("no engine"));
+            }
+
+            @Override
+            public CompletableFuture<OrderAnswer> order(TargetEntry engine, WeightsOrder order) {
+                return CompletableFuture.failedFuture(new IllegalStateException("no engine"));
+            }
+        };
+        return closer.add(new RelayDaemon(
+                settings,
+                store,
+                noEngines,
+                (address, since, wait) -> CompletableFuture.failedFuture(new IllegalStateException("no store")),
+                new PlainHeaders(),
+                HttpClients.start("targets", closer),
+                new JsonHttpClient(HttpClients.start("calls", closer), JsonHttpClient.mapper(), Step.STORE),
+                clock));
+    }
+
+    private org.eclipse.jetty.client.Request request(RelayDaemon daemon, String path) {
+        return http.newRequest("127.0.0.1", daemon.callersPort())
+                .path(path)
+                .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .headers(headers -> headers.put("host", "h.example").put("t-id", "id-1"));
+    }
+
+    private ContentResponse get(RelayDaemon daemon) {
+        return send(request(daemon, "/open/x"));
+    }
+
+    private static ContentResponse send(org.eclipse.jetty.client.Request request) {
+        try {
+            return request.send();
+        } catch (Exception e) {
+            throw new IllegalStateException("the request failed", e);
+        }
+    }
+
+    private boolean isReady(RelayDaemon daemon) {
+        return send(http.newRequest("127.0.0.1", daemon.readinessPort()).timeout(WAIT_SECONDS, TimeUnit.SECONDS))
+                        .getStatus()
+                == 200;
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(what, System.nanoTime() < end);
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void processThatKnowsNothingRefusesAndServesOnceTheStoreAnswers() {
+        store.setMode(FakeSharedStore.Mode.DOWN);
+        RelayDaemon daemon = start();
+        ContentResponse refused = get(daemon);
+        assertThat(refused.getStatus(), equalTo(503));
+        assertThat(refused.getHeaders().get("Retry-After"), notNullValue());
+        assertThat(isReady(daemon), equalTo(false));
+        store.setMode(FakeSharedStore.Mode.UP);
+        await("it serves", () -> {
+            nanos.addAndGet(Duration.ofMillis(10).toNanos());
+            return get(daemon).getStatus() == 200;
+        });
+        assertThat(isReady(daemon), equalTo(true));
+    }
+
+    @Test
+    void processThatIsStartedAfterItsPredecessorWasKilledServes() {
+        RelayDaemon first = start();
+        await("the first serves", () -> get(first).getStatus() == 200);
+        first.close();
+        RelayDaemon second = start();
+        await("the second serves", () -> get(second).getStatus() == 200);
+        assertThat(isReady(second), equalTo(true));
+    }
+
+    @Test
+    void processThatStopsEndsWhatItHasBegunAndSendsCallersElsewhere() throws Exception {
+        RelayDaemon daemon = start();
+        await("it serves", () -> get(daemon).getStatus() == 200);
+        CompletableFuture<ContentResponse> begun = CompletableFuture.supplyAsync(
+                () -> send(request(daemon, "/open/slow")),
+                task -> Thread.ofVirtual().start(task));
+        slowArrived.await(WAIT_SECONDS, TimeUnit.SECONDS);
+        try (Socket idle = new Socket(InetAddress.getLoopbackAddress(), daemon.callersPort())) {
+            idle.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            Thread stopping = Thread.ofVirtual().start(daemon::drain);
+            await("the balancer is told", () -> !isReady(daemon));
+            ContentResponse meanwhile = get(daemon);
+            assertThat(meanwhile.getStatus(), equalTo(200));
+            assertThat(meanwhile.getHeaders().get("Connection"), equalTo("close"));
+            nanos.addAndGet(Duration.ofSeconds(3).toNanos());
+            await("late callers are refused", () -> get(daemon).getStatus() == 503);
+            InputStream fromIdle = idle.getInputStream();
+            assertThat("the idle connection is closed", fromIdle.read(), equalTo(-1));
+            slowMayEnd.countDown();
+            assertThat(begun.get(WAIT_SECONDS, TimeUnit.SECONDS).getStatus(), equalTo(200));
+            stopping.join(Duration.ofSeconds(WAIT_SECONDS));
+            assertThat(stopping.isAlive(), equalTo(false));
+        }
+    }
+}
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -42,7 +42,7 @@
     private List<TargetEntry> targets = List.of();
     private long revision = 1;
     private long nextLease = 100;
-    private Mode mode = Mode.UP;
+    private volatile Mode mode = Mode.UP;
     private boolean historyLost;
     private int calls;
 
