--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -141,6 +141,7 @@
                 judge(choice.get(), found);
             }
             if (late != wasLate) {
+                // A late request may wait long where it is sent, so it needs weights that will do for longer.
                 choice = context.chooser().choose(context.directory().snapshot().pool(chosen.name()), needs());
                 if (choice.isEmpty()) {
                     throw gaveUp(ErrorCode.NO_TARGET, "No target with new weights takes late requests.");
