--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
@@ -190,6 +190,17 @@
         assertThat(admitted(), greaterThanOrEqualTo(LIMIT * windows * 0.9));
     }
 
+    @Test
+    void requestLargerThanTheWholeLimitIsAdmittedOnceWhileTheLimitIsFree() {
+        fleet(3);
+        report();
+        fleet.getFirst().send(LIMIT * 2);
+        assertThat(admitted(), equalTo(LIMIT * 2));
+        report();
+        fleet.forEach(vm -> vm.send(1));
+        assertThat(admitted(), equalTo(LIMIT * 2));
+    }
+
     @Test
     void vmThatHearsNoPeersKeepsToItsPart() {
         fleet(6);
