Log the fingerprint of a request and the start time of its target

Cause: a repetition by a caller has a new request id, and a target may come back under its old id, so the decision log could not tell repeated sends of one request from sends of different requests, nor one run of a target from the next. Change: attempt_... and stream_broken lines carry both; the fingerprint is computed only when such a line is written. RelayHandlerTests pass. No decision changes.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -1,5 +1,6 @@
 package dev.bluebellshunt.relay.proxy;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
@@ -94,6 +95,23 @@
         return outgoing != null;
     }
 
+    /**
+     * Returns a hash of the workspace and the content of the request. It stays the same when the caller sends the
+     * request again under a new id, to this VM or another.
+     */
+    long fingerprint() {
+        OutgoingRequest content = outgoing();
+        RelayWorkspace callersWorkspace = workspace;
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putString(callersWorkspace == null ? "" : callersWorkspace.name())
+                .putString(host())
+                .putString(content.method())
+                .putString(content.pathAndQuery())
+                .putByteArray(content.body())
+                .getAsLong();
+    }
+
     /** Whether the API key must not be forwarded to a target. */
     boolean withholdsApiKey() {
         return workspace != null || !route().anonymous();
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -74,6 +74,7 @@
     private boolean late;
     private String result = "ok";
     private String lastTarget = "none";
+    private long lastTargetBornMillis;
     private String lastFailureReason = "none";
     private @Nullable TargetExchange exchange;
     private boolean callerDisconnected;
@@ -213,6 +214,7 @@
         long tokens = Math.max(1, caller.metadata().totalTokens());
         attemptedTargets.add(target.entry().id());
         lastTarget = target.entry().id();
+        lastTargetBornMillis = target.entry().bornMillis();
         target.load().requestSent(tokens, late);
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
@@ -356,8 +358,12 @@
                 .write(
                         "attempt_" + outcome,
                         requestId(),
+                        "fingerprint",
+                        Long.toHexString(caller.fingerprint()),
                         "target",
                         lastTarget,
+                        "target_born_ms",
+                        lastTargetBornMillis,
                         "reason",
                         reason,
                         "ms",
@@ -466,8 +472,12 @@
                             .write(
                                     "stream_broken",
                                     requestId(),
+                                    "fingerprint",
+                                    Long.toHexString(caller.fingerprint()),
                                     "target",
                                     lastTarget,
+                                    "target_born_ms",
+                                    lastTargetBornMillis,
                                     "reason",
                                     lastFailureReason,
                                     "ms",
