Reproduce: a request that ends every target is sent again without limit

Callers saw a request under which three targets had ended go out to targets again and again. Evidence: the new test sends the same request eight times under new ids, to targets that close the connection and come back as new incarnations.

--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -57,7 +57,6 @@
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
 import org.junit.jupiter.api.AfterEach;
@@ -80,6 +79,7 @@
     private final Queue<ScriptedResponse> scriptedResponses = new ConcurrentLinkedQueue<>();
     private final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
     private final HttpClient httpClient = HttpClients.start("test", closer);
+    private final List<Integer> targetPorts = new ArrayList<>();
     private int port;
 
     private record ReceivedRequest(String method, String path, HttpFields headers, String body) {}
@@ -144,19 +144,17 @@
 
     @BeforeEach
     void start() {
-        List<TargetEntry> entries = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
-            ServerConnector target = HttpServers.start(
-                    "target",
-                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                    RelayHandler.httpConfiguration(),
-                    new ScriptedTarget(),
-                    new ErrorHandler(),
-                    closer);
-            entries.add(new TargetEntry(
-                    "t" + i, 1, "apps", "127.0.0.1", target.getLocalPort(), "fd-1", 6, false, Map.of()));
+            targetPorts.add(HttpServers.start(
+                            "target",
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            RelayHandler.httpConfiguration(),
+                            new ScriptedTarget(),
+                            new ErrorHandler(),
+                            closer)
+                    .getLocalPort());
         }
-        directory.update(entries);
+        registerTargets(1);
         RelayContext context = new RelayContext(
                 operators,
                 directory,
@@ -191,6 +189,16 @@
         closer.close();
     }
 
+    /** Registers all targets with a start time, as after a restart under the same ids. */
+    private void registerTargets(long bornMillis) {
+        List<TargetEntry> entries = new ArrayList<>();
+        for (int i = 0; i < targetPorts.size(); i++) {
+            entries.add(new TargetEntry(
+                    "t" + i, bornMillis, "apps", "127.0.0.1", targetPorts.get(i), "fd-1", 6, false, Map.of()));
+        }
+        directory.update(entries);
+    }
+
     private static RelayRoute route(String prefix, RouteKind kind, boolean anonymous) {
         return new RelayRoute(
                 "r",
@@ -411,4 +419,34 @@
                 String.valueOf(receivedRequests.remove().headers().get("t-timeout")));
         assertThat(forwardedMillis, lessThanOrEqualTo(3_000L));
     }
+
+    /** Guards against a request that ends every target that runs it, and that its caller sends again and again. */
+    @Test
+    void requestThatEndedThreeTargetsIsNotSentAgain() throws Exception {
+        configure();
+        int lastStatus = 0;
+        String retryAfter = null;
+        for (int repetition = 1; repetition <= 8; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            ContentResponse response = post("/once/deadly", "repetition-" + repetition);
+            lastStatus = response.getStatus();
+            retryAfter = response.getHeaders().get("retry-after");
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests.size(), lessThanOrEqualTo(3));
+        assertThat(lastStatus, equalTo(503));
+        assertThat(retryAfter, notNullValue());
+        scriptedResponses.clear();
+        assertThat(post("/once/harmless", "other").getStatus(), equalTo(200));
+    }
+
+    private ContentResponse post(String path, String requestId) throws Exception {
+        return request(path)
+                .method("POST")
+                .headers(headers -> headers.put("t-id", requestId))
+                .body(new org.eclipse.jetty.client.StringRequestContent("text/plain", "the same body"))
+                .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .send();
+    }
 }
