Stop sending a request under which three targets have ended

Cause: the relay kept nothing about a request after its response. Each repetition has a new id and counts as new on each VM. The router had CrashSuspects; it was never joined to the relay. Class: state about a request that has to outlive the request, and to be known on all VMs, was kept by none. Change: a lost connection, or silence of the whole target, counts as a crash of that incarnation against the request's fingerprint; three quarantine it on all VMs. Peers hear of it in their reports, VMs that all restart at once read it from the store. A response, or the target's registration after the lifetime of an entry, clears a crash. CrashSuspects, used by the router too, no longer asks for two failure domains (a pool with one was never protected), and its quarantines end by themselves. Ruled out on the way: entries as heartbeats. A trial on a scratch copy showed that the store's entry of a target does not change while the target lives (revision 17 throughout), so registration after the lifetime of an entry is the evidence used. Why it works: every path by which the relay loses a target records the crash before the caller can repeat, and each send asks first.

--- a/core/src/main/java/dev/bluebellshunt/core/error/ErrorCode.java
+++ b/core/src/main/java/dev/bluebellshunt/core/error/ErrorCode.java
@@ -26,6 +26,7 @@
     NOT_CONFIGURED(503),
     CONFIGURATION_STALE(503),
     DRAINING(503),
+    TARGETS_CRASHED(503),
     DEADLINE_EXCEEDED(504);
 
     private final int status;
--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -5,19 +5,24 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.SequencedMap;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Detects requests that crash every target that runs them.
+ * Detects requests that crash every target that runs them, and quarantines them.
  *
- * <p>A request is identified by the fingerprint of its workspace and body. When a target crashes, the
- * crash is recorded against each request that the target was running, most of which did not cause it.
- * Three rules protect those requests: a suspect is kept apart from other suspects, a complete response
- * clears it, and it is quarantined only after crashes of several targets in more than one failure
- * domain, so that the loss of a single rack does not quarantine requests.
+ * <p>A request is identified by the fingerprint of its workspace and content. When a target crashes, the crash is
+ * recorded against each request that it was running, most of which did not cause it. A complete response to a
+ * request, or a later sign of life of the target, clears the crash again. A request against which the crashes of
+ * {@link #TARGETS_UNTIL_QUARANTINE} targets are recorded is quarantined. The quarantine ends by itself, so that a
+ * request that was only present when several targets were lost can run again; it lasts twice as long after each
+ * further crash.
  *
  * <p>This class is thread-safe. It holds at most {@link #MAX_ENTRIES} fingerprints.
  */
@@ -26,17 +31,30 @@
     /** The number of distinct targets that must crash while running a request before it is quarantined. */
     public static final int TARGETS_UNTIL_QUARANTINE = 3;
 
+    /** Duration of the first quarantine of a request. */
+    static final Duration INITIAL_QUARANTINE = Duration.ofMinutes(1);
+
+    /** Maximum duration of a quarantine. */
+    static final Duration MAX_QUARANTINE = Duration.ofMinutes(30);
+
+    /**
+     * Added to the quarantine on VMs that learn of a crash from others, so that a VM that has seen the crash itself
+     * runs the request first, and can report whether it crashes another target.
+     */
+    static final Duration PEER_QUARANTINE_MARGIN = Duration.ofSeconds(10);
+
     /** The maximum number of fingerprints; the least recently updated one is evicted first. */
     static final int MAX_ENTRIES = 10_000;
 
     /** The maximum number of entries in one report to a peer. */
     static final int MAX_REPORT_ENTRIES = 100;
 
-    /** How long an entry is kept after its last recorded crash; it also limits quarantine. */
-    static final Duration ENTRY_TTL = Duration.ofMinutes(30);
+    /** How long an entry is kept after its last recorded crash; exceeds the longest quarantine. */
+    static final Duration ENTRY_TTL = Duration.ofHours(1);
 
     private final MonotonicClock clock;
-    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+    private final SequencedMap<Long, Entry> entries = new LinkedHashMap<>();
+    private volatile boolean empty = true;
 
     /**
      * Creates an empty table.
@@ -47,6 +65,15 @@
         this.clock = clock;
     }
 
+    /**
+     * Returns whether no crashes are recorded. Does not block.
+     *
+     * @return true if every request is clear
+     */
+    public boolean isEmpty() {
+        return empty;
+    }
+
     /**
      * Returns whether a request is suspected or quarantined.
      *
@@ -55,10 +82,29 @@
      */
     public synchronized Status status(long fingerprint) {
         Entry entry = unexpiredEntry(fingerprint);
-        if (entry == null) {
+        if (entry == null || entry.crashes.isEmpty()) {
             return Status.CLEAR;
         }
-        return entry.isQuarantined() ? Status.QUARANTINED : Status.SUSPECT;
+        return isQuarantined(entry) ? Status.QUARANTINED : Status.SUSPECT;
+    }
+
+    /**
+     * Returns how long a request must not run. If its quarantine has ended, permits this one run and extends the
+     * quarantine, so that other runs wait for the outcome of this one.
+     *
+     * @param fingerprint the request's fingerprint
+     * @return the remaining quarantine, or zero if the request may run now
+     */
+    public synchronized Duration acquireRun(long fingerprint) {
+        Entry entry = unexpiredEntry(fingerprint);
+        if (entry == null || entry.crashes.size() < TARGETS_UNTIL_QUARANTINE) {
+            return Duration.ZERO;
+        }
+        if (isQuarantined(entry)) {
+            return entry.quarantineEnd.remaining(clock);
+        }
+        entry.quarantineEnd = Deadline.after(clock, INITIAL_QUARANTINE);
+        return Duration.ZERO;
     }
 
     /**
@@ -69,7 +115,7 @@
      */
     public synchronized Set<String> crashedTargets(long fingerprint) {
         Entry entry = unexpiredEntry(fingerprint);
-        return entry == null ? Set.of() : Set.copyOf(entry.domainsByTarget.keySet());
+        return entry == null ? Set.of() : Set.copyOf(entry.crashes.keySet());
     }
 
     /**
@@ -81,20 +127,31 @@
      */
     public synchronized void recordCrash(String target, String failureDomain, Collection<Long> fingerprints) {
         for (long fingerprint : fingerprints) {
-            recordCrashes(fingerprint, Map.of(target, failureDomain));
+            recordCrashes(fingerprint, Map.of(target, failureDomain), true);
         }
     }
 
     /**
-     * Records that a request received a complete response. This clears a suspect, but does not lift a
-     * quarantine.
+     * Records that a request received a complete response, which clears the crashes recorded against it.
      *
      * @param fingerprint the request's fingerprint
      */
     public synchronized void recordCompletion(long fingerprint) {
         Entry entry = entries.get(fingerprint);
-        if (entry != null && !entry.isQuarantined()) {
-            entries.remove(fingerprint);
+        if (entry != null) {
+            entry.clear(target -> true, clock.nanos());
+        }
+    }
+
+    /**
+     * Records that targets have not crashed, which clears the crashes of them that were recorded before.
+     *
+     * @param targets the targets' names
+     * @param asOfNanos the clock reading at which the targets were still running
+     */
+    public synchronized void recordAlive(Set<String> targets, long asOfNanos) {
+        for (Entry entry : entries.values()) {
+            entry.clear(target -> targets.contains(target) && entry.crashedBefore(target, asOfNanos), clock.nanos());
         }
     }
 
@@ -104,11 +161,48 @@
      * @return for each fingerprint, the failure domains of crashed targets by target name
      */
     public synchronized Map<Long, Map<String, String>> report() {
+        return newest(entry -> true);
+    }
+
+    /**
+     * Returns the crashes of the quarantined requests, and of those for which a crash was recorded or cleared recently.
+     *
+     * @param window how recently
+     * @return the report for the peers
+     */
+    public synchronized CrashReport recentReport(Duration window) {
+        if (empty) {
+            return CrashReport.EMPTY;
+        }
+        long oldestNanos = clock.nanos() - window.toNanos();
+        Map<Long, Set<String>> cleared = new HashMap<>();
+        entries.forEach((fingerprint, entry) -> {
+            if (cleared.size() < MAX_REPORT_ENTRIES && entry.clearedNanos - oldestNanos >= 0) {
+                cleared.put(fingerprint, Set.copyOf(entry.cleared));
+            }
+        });
+        return new CrashReport(
+                newest(entry -> isQuarantined(entry) || entry.lastCrashNanos - oldestNanos >= 0), cleared);
+    }
+
+    /**
+     * Returns the crashes of the quarantined requests of which this VM has observed at least one itself.
+     *
+     * @return for each fingerprint, the failure domains of crashed targets by target name
+     */
+    public synchronized Map<Long, Map<String, String>> observedQuarantines() {
+        return newest(entry -> isQuarantined(entry) && entry.observed);
+    }
+
+    private Map<Long, Map<String, String>> newest(Predicate<Entry> condition) {
         Map<Long, Map<String, String>> report = new HashMap<>();
-        int skip = entries.size() - MAX_REPORT_ENTRIES;
-        for (Map.Entry<Long, Entry> entry : entries.entrySet()) {
-            if (skip-- <= 0 && !entry.getValue().expiry.hasPassed(clock)) {
-                report.put(entry.getKey(), Map.copyOf(entry.getValue().domainsByTarget));
+        for (Map.Entry<Long, Entry> newest : entries.sequencedEntrySet().reversed()) {
+            Entry entry = newest.getValue();
+            if (report.size() >= MAX_REPORT_ENTRIES) {
+                break;
+            }
+            if (!entry.crashes.isEmpty() && !entry.expiry.hasPassed(clock) && condition.test(entry)) {
+                report.put(newest.getKey(), entry.failureDomains());
             }
         }
         return report;
@@ -121,32 +215,71 @@
      * @param report the peer's report, in the form of {@link #report}
      */
     public synchronized void mergeReport(Map<Long, Map<String, String>> report) {
-        report.forEach((fingerprint, crashes) -> {
-            Entry known = unexpiredEntry(fingerprint);
-            if (known == null || !known.domainsByTarget.keySet().containsAll(crashes.keySet())) {
-                recordCrashes(fingerprint, crashes);
+        report.forEach((fingerprint, crashes) -> recordCrashes(fingerprint, crashes, false));
+    }
+
+    /**
+     * Merges the crashes reported by a peer, and clears those that the peer has cleared.
+     *
+     * @param report the peer's report
+     */
+    public synchronized void mergeReport(CrashReport report) {
+        report.cleared().forEach((fingerprint, targets) -> {
+            Entry entry = unexpiredEntry(fingerprint);
+            if (entry != null) {
+                entry.cleared.addAll(targets);
+                entry.crashes.keySet().removeAll(targets);
             }
         });
+        mergeReport(report.crashes());
     }
 
-    private void recordCrashes(long fingerprint, Map<String, String> domainsByTarget) {
+    private void recordCrashes(long fingerprint, Map<String, String> domainsByTarget, boolean observed) {
         Entry entry = unexpiredEntry(fingerprint);
         if (entry == null) {
-            entry = new Entry();
+            entry = new Entry(clock.nanos() - ENTRY_TTL.toNanos());
+        }
+        long now = clock.nanos();
+        boolean changed = false;
+        for (Map.Entry<String, String> crashed : domainsByTarget.entrySet()) {
+            if (!entry.cleared.contains(crashed.getKey())) {
+                Crash crash = new Crash(crashed.getValue(), now);
+                changed |= entry.crashes.putIfAbsent(crashed.getKey(), crash) == null;
+            }
+        }
+        if (!changed) {
+            return;
         }
+        entry.observed |= observed;
+        entry.lastCrashNanos = now;
+        entry.expiry = Deadline.after(clock, ENTRY_TTL);
+        Duration quarantine = quarantine(entry.crashes.size());
+        entry.quarantineEnd = Deadline.after(clock, observed ? quarantine : quarantine.plus(PEER_QUARANTINE_MARGIN));
         entries.remove(fingerprint);
         entries.put(fingerprint, entry);
-        entry.domainsByTarget.putAll(domainsByTarget);
-        entry.expiry = Deadline.after(clock, ENTRY_TTL);
         if (entries.size() > MAX_ENTRIES) {
             entries.remove(entries.keySet().iterator().next());
         }
+        empty = false;
+    }
+
+    private static Duration quarantine(int crashes) {
+        Duration quarantine = INITIAL_QUARANTINE;
+        for (int i = TARGETS_UNTIL_QUARANTINE; i < crashes && quarantine.compareTo(MAX_QUARANTINE) < 0; i++) {
+            quarantine = quarantine.multipliedBy(2);
+        }
+        return quarantine.compareTo(MAX_QUARANTINE) > 0 ? MAX_QUARANTINE : quarantine;
+    }
+
+    private boolean isQuarantined(Entry entry) {
+        return entry.crashes.size() >= TARGETS_UNTIL_QUARANTINE && !entry.quarantineEnd.hasPassed(clock);
     }
 
     private @Nullable Entry unexpiredEntry(long fingerprint) {
         Entry entry = entries.get(fingerprint);
         if (entry != null && entry.expiry.hasPassed(clock)) {
             entries.remove(fingerprint);
+            empty = entries.isEmpty();
             return null;
         }
         return entry;
@@ -156,19 +289,47 @@
     public enum Status {
         /** No restriction. */
         CLEAR,
-        /** Must run apart from other suspects and not on targets that crashed while running it. */
+        /** Must not run on targets that crashed while running it. */
         SUSPECT,
         /** Must not run. */
         QUARANTINED
     }
 
+    private record Crash(String failureDomain, long recordedNanos) {}
+
     private static final class Entry {
-        private final Map<String, String> domainsByTarget = new HashMap<>();
+        private final Map<String, Crash> crashes = new HashMap<>();
+
+        /** Targets whose crashes are not counted again when peers still report them. */
+        private final Set<String> cleared = new HashSet<>();
+
+        private boolean observed;
+        private long lastCrashNanos;
+        private long clearedNanos;
+        private Deadline quarantineEnd = new Deadline(0);
         private Deadline expiry = new Deadline(0);
 
-        private boolean isQuarantined() {
-            return domainsByTarget.size() >= TARGETS_UNTIL_QUARANTINE
-                    && Set.copyOf(domainsByTarget.values()).size() > 1;
+        private Entry(long neverNanos) {
+            lastCrashNanos = neverNanos;
+            clearedNanos = neverNanos;
+        }
+
+        private void clear(Predicate<String> targets, long now) {
+            crashes.keySet().stream().filter(targets).forEach(cleared::add);
+            if (crashes.keySet().removeAll(cleared)) {
+                clearedNanos = now;
+            }
+        }
+
+        private boolean crashedBefore(String target, long nanos) {
+            Crash crash = crashes.get(target);
+            return crash != null && crash.recordedNanos() - nanos < 0;
+        }
+
+        private Map<String, String> failureDomains() {
+            return crashes.entrySet().stream()
+                    .collect(Collectors.toMap(
+                            Map.Entry::getKey, crash -> crash.getValue().failureDomain()));
         }
     }
 }
--- /dev/null
+++ b/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
@@ -0,0 +1,164 @@
+package dev.bluebellshunt.core.retry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.aMapWithSize;
+import static org.hamcrest.Matchers.anEmptyMap;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasKey;
+
+import dev.bluebellshunt.core.retry.CrashSuspects.Status;
+import dev.bluebellshunt.core.testing.ManualClock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Requests are quarantined by crashes of several targets, and cleared by responses and heartbeats. */
+class CrashSuspectsTests {
+
+    private static final long FINGERPRINT = 7;
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final ManualClock clock = new ManualClock();
+    private final CrashSuspects suspects = new CrashSuspects(clock);
+
+    private void crash(String... targets) {
+        for (String target : targets) {
+            suspects.recordCrash(target, "fd-1", List.of(FINGERPRINT));
+        }
+    }
+
+    private boolean mayRun() {
+        return suspects.acquireRun(FINGERPRINT).isZero();
+    }
+
+    @Test
+    void requestIsQuarantinedAfterThreeTargetsOfOneFailureDomain() {
+        crash("a", "b");
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.SUSPECT));
+        assertThat(mayRun(), equalTo(true));
+        crash("c");
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.QUARANTINED));
+        assertThat(suspects.acquireRun(FINGERPRINT), equalTo(CrashSuspects.INITIAL_QUARANTINE));
+        assertThat(suspects.acquireRun(8), equalTo(Duration.ZERO));
+    }
+
+    @Test
+    void crashOfOneTargetCountsOnce() {
+        crash("a", "a", "b", "b");
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.SUSPECT));
+    }
+
+    @Test
+    void completeResponseClearsRequestAlsoIfPeersStillReportItsCrashes() {
+        crash("a", "b", "c");
+        Map<Long, Map<String, String>> reportOfPeer = suspects.report();
+        suspects.recordCompletion(FINGERPRINT);
+        suspects.mergeReport(reportOfPeer);
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.CLEAR));
+        assertThat(suspects.report(), anEmptyMap());
+        crash("d", "e");
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.SUSPECT));
+    }
+
+    @Test
+    void laterHeartbeatClearsCrash() {
+        crash("a", "b", "c");
+        clock.advance(SECOND);
+        suspects.recordAlive(Set.of("c"), clock.nanos());
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.SUSPECT));
+        assertThat(suspects.crashedTargets(FINGERPRINT), equalTo(Set.of("a", "b")));
+    }
+
+    @Test
+    void heartbeatFromBeforeCrashDoesNotClearIt() {
+        clock.advance(SECOND);
+        crash("a", "b", "c");
+        suspects.recordAlive(Set.of("a", "b", "c"), clock.nanos() - SECOND.toNanos());
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.QUARANTINED));
+    }
+
+    @Test
+    void singleRequestRunsAfterQuarantine() {
+        crash("a", "b", "c");
+        clock.advance(CrashSuspects.INITIAL_QUARANTINE);
+        assertThat("the first run", mayRun(), equalTo(true));
+        assertThat("a run beside it", mayRun(), equalTo(false));
+        suspects.recordCompletion(FINGERPRINT);
+        assertThat("a run after its response", mayRun(), equalTo(true));
+    }
+
+    @Test
+    void quarantineDoublesWithEachFurtherCrashUpToMaximum() {
+        crash("a", "b", "c");
+        Duration expected = CrashSuspects.INITIAL_QUARANTINE;
+        for (int i = 0; i < 10; i++) {
+            assertThat(suspects.acquireRun(FINGERPRINT), equalTo(expected));
+            clock.advance(expected);
+            crash("further-" + i);
+            Duration doubled = expected.multipliedBy(2);
+            expected = doubled.compareTo(CrashSuspects.MAX_QUARANTINE) > 0 ? CrashSuspects.MAX_QUARANTINE : doubled;
+        }
+    }
+
+    @Test
+    void vmThatSawCrashRunsRequestBeforeItsPeers() {
+        CrashSuspects peer = new CrashSuspects(clock);
+        crash("a", "b", "c");
+        peer.mergeReport(suspects.report());
+        clock.advance(CrashSuspects.INITIAL_QUARANTINE);
+        assertThat(peer.status(FINGERPRINT), equalTo(Status.QUARANTINED));
+        assertThat(mayRun(), equalTo(true));
+        crash("d");
+        peer.mergeReport(suspects.report());
+        clock.advance(CrashSuspects.PEER_QUARANTINE_MARGIN);
+        assertThat(peer.acquireRun(FINGERPRINT), greaterThan(Duration.ZERO));
+    }
+
+    @Test
+    void recentReportHasQuarantinesAndRecentCrashes() {
+        crash("a", "b", "c");
+        suspects.recordCrash("a", "fd-1", List.of(8L));
+        clock.advance(SECOND.multipliedBy(2));
+        suspects.recordCrash("a", "fd-1", List.of(9L));
+        Map<Long, Map<String, String>> recent = suspects.recentReport(SECOND).crashes();
+        assertThat(recent, aMapWithSize(2));
+        assertThat(recent, hasKey(FINGERPRINT));
+        assertThat(recent, hasKey(9L));
+    }
+
+    @Test
+    void clearedCrashIsClearedAtPeers() {
+        CrashSuspects peer = new CrashSuspects(clock);
+        crash("a", "b");
+        peer.mergeReport(suspects.recentReport(SECOND));
+        peer.recordCompletion(FINGERPRINT);
+        suspects.mergeReport(peer.recentReport(SECOND));
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.CLEAR));
+        peer.mergeReport(suspects.recentReport(SECOND));
+        assertThat(peer.status(FINGERPRINT), equalTo(Status.CLEAR));
+    }
+
+    @Test
+    void onlyQuarantinesWithObservedCrashAreObserved() {
+        CrashSuspects peer = new CrashSuspects(clock);
+        crash("a", "b", "c");
+        peer.mergeReport(suspects.report());
+        assertThat(suspects.observedQuarantines(), hasKey(FINGERPRINT));
+        assertThat(peer.observedQuarantines(), anEmptyMap());
+    }
+
+    @Test
+    void entriesAndReportsAreBounded() {
+        for (long fingerprint = 0; fingerprint <= CrashSuspects.MAX_ENTRIES; fingerprint++) {
+            suspects.recordCrash("a", "fd-1", List.of(fingerprint));
+        }
+        assertThat(suspects.status(0), equalTo(Status.CLEAR));
+        assertThat(suspects.status(CrashSuspects.MAX_ENTRIES), equalTo(Status.SUSPECT));
+        assertThat(suspects.report(), aMapWithSize(CrashSuspects.MAX_REPORT_ENTRIES));
+        clock.advance(CrashSuspects.ENTRY_TTL);
+        assertThat(suspects.status(CrashSuspects.MAX_ENTRIES), equalTo(Status.CLEAR));
+    }
+}
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,7 @@
 training=target/training
 mkdir -p "$training"
 cat >"$training/settings.json" <<'JSON'
-{"node-name":"training","ip":"127.0.0.1","zone":"z","internal-ports":[0],
+{"node-name":"training","ip":"127.0.0.1","zone":"z","internal-ports":[0],"heartbeat-ms":1200,
  "listen":{"front":"127.0.0.1:0","ready":"127.0.0.1:0"},
  "bounds":{"retry-ratio":0.2,"retry-window-s":10,"retry-extra":50,"quota-window-s":8,"revoke-ms":5000,
   "version-ms":8000,"lease-ms":3000,"grace-s":2},
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.close.Closer;
 import dev.bluebellshunt.core.control.ControlLoop;
 import dev.bluebellshunt.core.control.JitteredTimer;
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreClient;
@@ -18,6 +19,7 @@
 import dev.bluebellshunt.relay.proxy.HeaderCodec;
 import dev.bluebellshunt.relay.proxy.RelayContext;
 import dev.bluebellshunt.relay.proxy.RelayHandler;
+import dev.bluebellshunt.relay.quarantine.QuarantineSystem;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.SharedStore;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
@@ -60,6 +62,9 @@
     /** Interval of peer reports; a fraction of the duration of a request. */
     private static final Duration PEER_INTERVAL = Duration.ofMillis(250);
 
+    /** Interval for storing quarantines; much shorter than the restart of a VM. */
+    private static final Duration QUARANTINE_INTERVAL = Duration.ofMillis(500);
+
     /** Interval for updating the idle timeout of connections and the gauges from the configuration. */
     private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofSeconds(1);
 
@@ -122,6 +127,7 @@
         FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow(), peerReports);
         EngineCacheIndex engineCacheIndex = new EngineCacheIndex(clock);
         PromptCacheStoreIndex cacheStoreIndex = new PromptCacheStoreIndex(clock);
+        CrashSuspects crashSuspects = new CrashSuspects(clock);
         this.drain = new DrainState(clock);
         this.context = new RelayContext(
                 operators,
@@ -129,6 +135,7 @@
                 new PoolTargetSelector(random, peerReports),
                 engineCacheIndex,
                 cacheStoreIndex,
+                crashSuspects,
                 limits,
                 codec,
                 http,
@@ -139,7 +146,16 @@
                 settings.revocationTime().minus(REVOCATION_MARGIN),
                 settings.weightsTime().minus(WEIGHTS_MARGIN));
         control.add(operators);
-        control.add(new TargetListSystem(store, directory, control, new JitteredTimer(clock, random, TARGET_INTERVAL)));
+        control.add(new TargetListSystem(
+                store,
+                directory,
+                crashSuspects,
+                settings.entryLifetime(),
+                control,
+                clock,
+                new JitteredTimer(clock, random, TARGET_INTERVAL)));
+        control.add(new QuarantineSystem(
+                store, crashSuspects, control, new JitteredTimer(clock, random, QUARANTINE_INTERVAL)));
         FleetSystem fleet = new FleetSystem(
                 store,
                 operators,
@@ -171,6 +187,7 @@
                 limits,
                 engineCacheIndex,
                 rollout,
+                crashSuspects,
                 control,
                 new JitteredTimer(clock, random, PEER_INTERVAL),
                 settings.vm()));
@@ -191,7 +208,7 @@
                 "internal",
                 settings.internal(),
                 HttpServers.newConfiguration(),
-                new InternalHandler(peerReports, engineCacheIndex, directory, context.metrics()));
+                new InternalHandler(peerReports, engineCacheIndex, directory, crashSuspects, context.metrics()));
         log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -17,6 +17,7 @@
  * @param revocationTime the time within which a revoked key must be rejected
  * @param weightsTime the time within which new requests must run on newly set weights
  * @param handoverDelay the minimum time between the orders of two successive holders of the rollout lease
+ * @param entryLifetime the time after which the store removes the entry of a target that has ended
  * @param gracePeriod the time that the process may take to stop
  */
 public record RelaySettings(
@@ -30,4 +31,5 @@
         Duration revocationTime,
         Duration weightsTime,
         Duration handoverDelay,
+        Duration entryLifetime,
         Duration gracePeriod) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/model/TargetEntry.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/model/TargetEntry.java
@@ -50,5 +50,15 @@
      * @param id the id of the target
      * @param bornMillis the start time, in milliseconds since the Unix epoch
      */
-    public record Incarnation(String id, long bornMillis) {}
+    public record Incarnation(String id, long bornMillis) {
+
+        /**
+         * Returns a name that no other incarnation has.
+         *
+         * @return the id and the start time as one text
+         */
+        public String name() {
+            return id + "@" + bornMillis;
+        }
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
@@ -1,6 +1,8 @@
 package dev.bluebellshunt.relay.peer;
 
 import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.core.retry.CrashReport;
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.telemetry.RelayMetrics;
@@ -28,6 +30,7 @@
     private final PeerReportTable peerReports;
     private final EngineCacheIndex engineCacheIndex;
     private final TargetDirectory directory;
+    private final CrashSuspects crashSuspects;
     private final RelayMetrics metrics;
 
     /**
@@ -36,16 +39,19 @@
      * @param peerReports receives the reports
      * @param engineCacheIndex receives the reported cache contents of the engines
      * @param directory receives the reported weights of the engines
+     * @param crashSuspects receives the reported crashes of targets
      * @param metrics the metrics to serve
      */
     public InternalHandler(
             PeerReportTable peerReports,
             EngineCacheIndex engineCacheIndex,
             TargetDirectory directory,
+            CrashSuspects crashSuspects,
             RelayMetrics metrics) {
         this.peerReports = peerReports;
         this.engineCacheIndex = engineCacheIndex;
         this.directory = directory;
+        this.crashSuspects = crashSuspects;
         this.metrics = metrics;
     }
 
@@ -72,6 +78,10 @@
             peerReports.update(report);
             engineCacheIndex.mergeUpdates(report.prefixes());
             directory.recordLoadedWeights(report.loaded());
+            CrashReport crashes = report.crashes();
+            if (crashes != null) {
+                crashSuspects.mergeReport(crashes);
+            }
             return true;
         } catch (IllegalArgumentException e) {
             log.warn("Rejecting malformed peer report: {}", e.getMessage());
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -3,6 +3,8 @@
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.control.ControlSystem;
 import dev.bluebellshunt.core.control.JitteredTimer;
+import dev.bluebellshunt.core.retry.CrashReport;
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.relay.fleet.FleetSystem;
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
@@ -29,6 +31,9 @@
     /** An idle VM reports only at every third tick, which is within the lifetime of a report. */
     private static final int TICKS_PER_IDLE_REPORT = 3;
 
+    /** How long a crash is reported; several report intervals, so that a single lost report has no effect. */
+    private static final Duration CRASH_REPORT_WINDOW = Duration.ofSeconds(1);
+
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
     private static final Logger log = LoggerFactory.getLogger("peers");
 
@@ -39,6 +44,7 @@
     private final FleetLimits limits;
     private final EngineCacheIndex engineCacheIndex;
     private final RolloutStatus rolloutStatus;
+    private final CrashSuspects crashSuspects;
     private final ControlExecutor control;
     private final JitteredTimer interval;
     private final String vm;
@@ -56,6 +62,7 @@
      * @param limits provides this VM's admissions
      * @param engineCacheIndex provides the prompt prefixes that engines have processed
      * @param rolloutStatus provides the state of the weight rollout on this VM
+     * @param crashSuspects provides the requests that were running when targets crashed
      * @param control the control thread
      * @param interval the report interval
      * @param vm the name of this VM
@@ -68,6 +75,7 @@
             FleetLimits limits,
             EngineCacheIndex engineCacheIndex,
             RolloutStatus rolloutStatus,
+            CrashSuspects crashSuspects,
             ControlExecutor control,
             JitteredTimer interval,
             String vm) {
@@ -78,6 +86,7 @@
         this.limits = limits;
         this.engineCacheIndex = engineCacheIndex;
         this.rolloutStatus = rolloutStatus;
+        this.crashSuspects = crashSuspects;
         this.control = control;
         this.interval = interval;
         this.vm = vm;
@@ -90,7 +99,9 @@
         }
         peerReports.expireReports();
         Map<String, InFlightLoad> localLoad = localLoad();
-        idleTicks = localLoad.isEmpty() && !rolloutStatus.issuesOrders() ? idleTicks + 1 : 0;
+        CrashReport crashes = crashSuspects.recentReport(CRASH_REPORT_WINDOW);
+        boolean idle = localLoad.isEmpty() && !rolloutStatus.issuesOrders() && crashes.isEmpty();
+        idleTicks = idle ? idleTicks + 1 : 0;
         if (idleTicks % TICKS_PER_IDLE_REPORT != 0) {
             return;
         }
@@ -101,7 +112,8 @@
                 limits.admitted(),
                 engineCacheIndex.drainUpdates(),
                 rolloutStatus.issuesOrders(),
-                rolloutStatus.recentlyLoaded());
+                rolloutStatus.recentlyLoaded(),
+                crashes);
         fleet.peerAddresses().forEach(address -> send(address, report));
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -38,6 +38,7 @@
     private @Nullable RelayWorkspace workspace;
     private @Nullable PoolSpec pool;
     private @Nullable OutgoingRequest outgoing;
+    private @Nullable Long fingerprint;
     private Deadline deadline;
     private double chargedCost;
 
@@ -100,9 +101,13 @@
      * request again under a new id, to this VM or another.
      */
     long fingerprint() {
+        Long known = fingerprint;
+        if (known != null) {
+            return known;
+        }
         OutgoingRequest content = outgoing();
         RelayWorkspace callersWorkspace = workspace;
-        return Hashing.komihash5_0()
+        long computed = Hashing.komihash5_0()
                 .hashStream()
                 .putString(callersWorkspace == null ? "" : callersWorkspace.name())
                 .putString(host())
@@ -110,6 +115,8 @@
                 .putString(content.pathAndQuery())
                 .putByteArray(content.body())
                 .getAsLong();
+        fingerprint = computed;
+        return computed;
     }
 
     /** Whether the API key must not be forwarded to a target. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -138,6 +138,7 @@
             if (caller.deadline().hasPassed(context.clock())) {
                 throw noResponse(ErrorCode.DEADLINE_EXCEEDED, "The deadline of the request has passed.");
             }
+            checkQuarantine();
             Optional<PoolTargetSelector.Selection> selection = context.targetSelector()
                     .select(context.targetDirectory().snapshot().pool(pool.name()), targetRequirements());
             if (selection.isEmpty()) {
@@ -162,6 +163,7 @@
             }
             retryReserved = false;
             if (attempt(selection.get().target(), route)) {
+                recordCompletion();
                 return;
             }
             boolean mayRetry = possiblyExecutedAttempts == 0
@@ -174,6 +176,44 @@
         }
     }
 
+    /** Rejects a request that several targets crashed under, here or at other VMs. */
+    private void checkQuarantine() {
+        if (context.crashSuspects().isEmpty()) {
+            return;
+        }
+        Duration quarantine = context.crashSuspects().acquireRun(caller.fingerprint());
+        if (quarantine.isZero()) {
+            return;
+        }
+        context.decisionLog()
+                .write(
+                        "quarantined",
+                        requestId(),
+                        "fingerprint",
+                        Long.toHexString(caller.fingerprint()),
+                        "crashed_targets",
+                        context.crashSuspects().crashedTargets(caller.fingerprint()),
+                        "remaining_ms",
+                        quarantine.toMillis());
+        throw noResponse(
+                ErrorCode.TARGETS_CRASHED, "Several targets crashed while running the same request.", quarantine);
+    }
+
+    private void recordCompletion() {
+        if (!context.crashSuspects().isEmpty()) {
+            context.crashSuspects().recordCompletion(caller.fingerprint());
+        }
+    }
+
+    /** Records a crash of a target that ran the request. It is cleared if the target stays registered. */
+    private void recordSuspectedCrash(LiveTarget target) {
+        context.crashSuspects()
+                .recordCrash(
+                        target.entry().incarnation().name(),
+                        target.entry().failureDomain(),
+                        Set.of(caller.fingerprint()));
+    }
+
     private PoolTargetSelector.Request targetRequirements() {
         return new PoolTargetSelector.Request(
                 attemptedTargets,
@@ -198,12 +238,16 @@
 
     /** Returns the error for a request without a response, which states whether a target may have run it. */
     private ShuntException noResponse(ErrorCode code, String message) {
+        return noResponse(code, message, NO_TARGET_RETRY_DELAY);
+    }
+
+    private ShuntException noResponse(ErrorCode code, String message, Duration retryDelay) {
         if (possiblyExecutedAttempts == 0) {
             caller.refund();
             ErrorCode rejectionCode = code == ErrorCode.TARGET_FAILED || code == ErrorCode.DEADLINE_EXCEEDED
                     ? ErrorCode.OVERLOADED
                     : code;
-            return ShuntException.notRun(rejectionCode, Step.FORWARD, message, NO_TARGET_RETRY_DELAY);
+            return ShuntException.notRun(rejectionCode, Step.FORWARD, message, retryDelay);
         }
         ErrorCode failureCode = code == ErrorCode.DEADLINE_EXCEEDED ? code : ErrorCode.TARGET_FAILED;
         return new ShuntException(failureCode, Step.FORWARD, lastTarget, Outcome.UNKNOWN, message);
@@ -332,6 +376,10 @@
     }
 
     private void handleFailure(LiveTarget target, TargetExchange.TargetRequestException failure) throws IOException {
+        boolean connectionLost = !failure.isTimeout() && !failure.isAbandoned() && !isCallerDisconnected();
+        if (failure.isRequestSent() && (connectionLost || target.load().isStalled())) {
+            recordSuspectedCrash(target);
+        }
         if (isCallerDisconnected()) {
             target.load().requestAbandoned();
             throw new CallerDisconnectedException();
@@ -406,6 +454,9 @@
         if (isCallerDisconnected()) {
             throw failure;
         }
+        if (!TargetExchange.isTimeout(failure) || target.load().isStalled()) {
+            recordSuspectedCrash(target);
+        }
         recordFailure("broken", String.valueOf(failure.getMessage()));
         target.load().requestFailed();
         if (TargetExchange.isTimeout(failure)) {
@@ -467,6 +518,9 @@
             } catch (IOException e) {
                 lastFailureReason = String.valueOf(e.getMessage());
                 if (!isCallerDisconnected()) {
+                    if (!TargetExchange.isTimeout(e) || target.load().isStalled()) {
+                        recordSuspectedCrash(target);
+                    }
                     target.load().requestFailed();
                     context.decisionLog()
                             .write(
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
@@ -1,5 +1,6 @@
 package dev.bluebellshunt.relay.proxy;
 
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreIndex;
 import dev.bluebellshunt.relay.limit.FleetLimits;
@@ -21,6 +22,7 @@
  * @param targetSelector selects the target of a request
  * @param engineCacheIndex the known contents of the engines' prompt caches
  * @param cacheStoreIndex the known contents of the prompt cache store
+ * @param crashSuspects the requests that were running when targets crashed
  * @param limits rate limits and retry limits that apply across all VMs
  * @param headerCodec reads and writes protocol headers
  * @param httpClient the HTTP client for requests to targets
@@ -38,6 +40,7 @@
         PoolTargetSelector targetSelector,
         EngineCacheIndex engineCacheIndex,
         PromptCacheStoreIndex cacheStoreIndex,
+        CrashSuspects crashSuspects,
         FleetLimits limits,
         HeaderCodec headerCodec,
         HttpClient httpClient,
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -115,11 +115,20 @@
 
     /** Records that a request was abandoned before its first byte; a failure only if the target is stalled. */
     public synchronized void requestAbandoned() {
-        if (clock.nanos() - lastProgressNanos >= STALL_TIMEOUT.toNanos()) {
+        if (isStalled()) {
             requestFailed();
         }
     }
 
+    /**
+     * Returns whether the target has open requests and has sent nothing for a while.
+     *
+     * @return true after {@link #STALL_TIMEOUT} without response bytes
+     */
+    public synchronized boolean isStalled() {
+        return openRequests > 0 && clock.nanos() - lastProgressNanos >= STALL_TIMEOUT.toNanos();
+    }
+
     /**
      * Records that the target is at capacity and rejects requests.
      *
@@ -138,7 +147,7 @@
         if (!backoffDeadline.hasPassed(clock) || !overloadDeadline.hasPassed(clock)) {
             return false;
         }
-        return openRequests == 0 || clock.nanos() - lastProgressNanos < STALL_TIMEOUT.toNanos();
+        return !isStalled();
     }
 
     /**
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -127,6 +127,7 @@
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(8),
                 Duration.ofSeconds(3),
+                Duration.ofSeconds(3),
                 Duration.ofSeconds(8));
         EngineControl noEngines = new EngineControl() {
             @Override
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTests.java
@@ -0,0 +1,30 @@
+package dev.bluebellshunt.relay.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.nullValue;
+
+import dev.bluebellshunt.core.codec.Json;
+import dev.bluebellshunt.core.retry.CrashReport;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Encoding of the reports between VMs, also of VMs with an older version. */
+class PeerReportTests {
+
+    @Test
+    void crashesAreEncoded() {
+        CrashReport crashes = new CrashReport(Map.of(-3L, Map.of("t@1", "fd-1")), Map.of(4L, Set.of("t@2")));
+        PeerReport report = new PeerReport("vm-1", 1, Map.of(), Map.of(), Map.of(), false, List.of(), crashes);
+        assertThat(Json.read(Json.write(report), PeerReport.class), equalTo(report));
+    }
+
+    @Test
+    void reportOfOlderVersionHasNoCrashes() {
+        String older = """
+                {"vm":"vm-1","sequence":1,"uses":{},"admitted":{},"prefixes":{},"givesOrders":false,"loaded":[]}""";
+        assertThat(Json.read(older, PeerReport.class).crashes(), nullValue());
+    }
+}
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -10,6 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreIndex;
@@ -75,6 +76,7 @@
     private final FakeSharedStore store = new FakeSharedStore(clock);
     private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
     private final TargetDirectory directory = new TargetDirectory(clock);
+    private final CrashSuspects crashSuspects = new CrashSuspects(clock);
     private final PeerReportTable peerReports = new PeerReportTable(clock);
     private final Queue<ScriptedResponse> scriptedResponses = new ConcurrentLinkedQueue<>();
     private final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
@@ -161,6 +163,7 @@
                 new PoolTargetSelector(new Random(1), peerReports),
                 new EngineCacheIndex(clock),
                 new PromptCacheStoreIndex(clock),
+                crashSuspects,
                 new FleetLimits(
                         clock,
                         new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 50),
@@ -223,8 +226,10 @@
                         route("/stream/", RouteKind.STREAM, false),
                         route("/open/", RouteKind.IDEMPOTENT, true)),
                 Map.of("apps", new PoolSpec("apps", 0, null)),
-                Map.of("w", new RelayWorkspace("w", 0, false, false, 1, 0, 0)),
-                Map.of("secret", "w"),
+                Map.of(
+                        "w", new RelayWorkspace("w", 0, false, false, 1, 0, 0),
+                        "w2", new RelayWorkspace("w2", 0, false, false, 1, 0, 0)),
+                Map.of("secret", "w", "other-secret", "w2"),
                 List.of(),
                 CallerLimits.DEFAULT);
         store.publish(new OperatorState(0, configuration, Map.of()));
@@ -441,6 +446,71 @@
         assertThat(post("/once/harmless", "other").getStatus(), equalTo(200));
     }
 
+    @Test
+    void retriesOfRelayCountAsSendsOfRequestThatEndsTargets() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 4; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            scriptedResponses.add(closeWithoutResponse());
+            post("/safe/deadly", "repetition-" + repetition);
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests, hasSize(3));
+    }
+
+    @Test
+    void streamThatEndsTargetsMidwayIsNotSentAgain() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 5; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeMidResponse());
+            org.eclipse.jetty.client.Request stream = request("/stream/deadly").timeout(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (repetition <= 3) {
+                assertThrows(ExecutionException.class, stream::send);
+            } else {
+                assertThat(stream.send().getStatus(), equalTo(503));
+            }
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests, hasSize(3));
+    }
+
+    @Test
+    void requestOfOtherWorkspaceOrWithOtherBodyIsNotStopped() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 4; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            post("/once/deadly", "repetition-" + repetition);
+            registerTargets(1 + repetition);
+        }
+        scriptedResponses.clear();
+        assertThat(get("/once/deadly").getStatus(), equalTo(200));
+        org.eclipse.jetty.client.Request other = request("/once/deadly")
+                .method("POST")
+                .headers(headers -> headers.put("authorization", "other-secret"))
+                .body(new org.eclipse.jetty.client.StringRequestContent("text/plain", "the same body"));
+        assertThat(other.timeout(WAIT_SECONDS, TimeUnit.SECONDS).send().getStatus(), equalTo(200));
+    }
+
+    /** Guards against a quarantine by lost connections alone, while the request also completes. */
+    @Test
+    void requestThatCompletesInBetweenIsNotStopped() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 8; repetition++) {
+            scriptedResponses.clear();
+            if (repetition % 3 != 0) {
+                scriptedResponses.add(closeWithoutResponse());
+            }
+            assertThat(
+                    "repetition " + repetition,
+                    post("/once/harmless", "repetition-" + repetition).getStatus(),
+                    equalTo(repetition % 3 == 0 ? 200 : 502));
+            registerTargets(1 + repetition);
+        }
+    }
+
     private ContentResponse post(String path, String requestId) throws Exception {
         return request(path)
                 .method("POST")
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
+import dev.bluebellshunt.core.retry.CrashReport;
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
 import dev.bluebellshunt.relay.model.TargetEntry;
@@ -260,7 +261,8 @@
                         Map.of(),
                         Map.of(),
                         from.rollout.issuesOrders(),
-                        from.rollout.recentlyLoaded());
+                        from.rollout.recentlyLoaded(),
+                        CrashReport.EMPTY);
                 vms.stream().filter(to -> to != from).forEach(to -> to.peers.update(report));
             }
             run(TICK);
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -8,7 +8,6 @@
 import dev.bluebellshunt.core.error.Step;
 import dev.bluebellshunt.core.model.ModelSpec;
 import dev.bluebellshunt.core.model.Workspace;
-import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.routing.Choice;
 import dev.bluebellshunt.core.routing.HashRing;
 import dev.bluebellshunt.core.routing.PrefixChain;
@@ -103,7 +102,7 @@
      * @throws IOException if the caller has disconnected
      */
     public void run() throws IOException {
-        if (support.crashSuspects().status(fingerprint) == CrashSuspects.Status.QUARANTINED) {
+        if (isQuarantined()) {
             throw quarantined();
         }
         long reservedTokens = prefixChain.tokens() + request.maxTokens();
@@ -145,7 +144,7 @@
             if (!progress.canResume() || !support.tryAcquireRetry(context, failure)) {
                 throw endBrokenResponse(failure);
             }
-            if (support.crashSuspects().status(fingerprint) == CrashSuspects.Status.QUARANTINED) {
+            if (isQuarantined()) {
                 throw endBrokenResponse(quarantined());
             }
             support.sleepBeforeRetry(attempt, context.deadline());
@@ -382,6 +381,10 @@
                 cause);
     }
 
+    private boolean isQuarantined() {
+        return !support.crashSuspects().acquireRun(fingerprint).isZero();
+    }
+
     private static ShuntException quarantined() {
         return new ShuntException(
                 ErrorCode.QUARANTINED,
