Bound responses of targets that never end

Cause: the HTTP clients had no limit on the size of a response's head, and Jetty's timeout takes effect only when its parser waits for input, which a server can prevent. Class: input from a peer without a bound on size, and a bound on time that the peer can keep from being applied. All clients share it: targets, engines, stores, peers, in relay and router. Evidence, on the code before: with trailers without end the parser span in a loop without reading on, and the reader was still blocked after 600 s (total timeout 20 s; ended by hand). Heads without end were read until the server stopped, at 16 MiB. With the limit on heads alone, a chunk size without end (zeros) took 15.1 s with a timeout of 0.3 s. Change: a response's head and trailers are limited like a request's.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.proxy;
 
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.transport.HardTimeout;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
@@ -24,6 +25,7 @@
     private static final long ABANDON_POLL_INTERVAL_MS = 100;
 
     private final Request request;
+    private final HardTimeout hardTimeout;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean requestBegun = new AtomicBoolean();
     private final Duration timeout;
@@ -43,6 +45,7 @@
             String type = headers.get(HttpHeader.CONTENT_TYPE);
             request.body(new BytesRequestContent(type == null ? "application/octet-stream" : type, outgoing.body()));
         }
+        this.hardTimeout = HardTimeout.start(httpClient, request, timeout);
     }
 
     /**
@@ -105,6 +108,7 @@
     /** Ends the exchange, and aborts it if the response has not been read completely. */
     @Override
     public void close() {
+        hardTimeout.close();
         abort(new IOException("the response is no longer needed"));
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -55,6 +55,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -144,6 +145,28 @@
         };
     }
 
+    /** Sends a text and then another one without end, until the connection is closed. */
+    private static ScriptedResponse endless(String start, String repeated) {
+        return (request, response, callback) -> {
+            EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+            String block = repeated.repeat(1_000);
+            try {
+                writeRaw(endPoint, start);
+                while (true) {
+                    writeRaw(endPoint, block);
+                }
+            } catch (ExecutionException closed) {
+                callback.failed(closed);
+            }
+        };
+    }
+
+    private static void writeRaw(EndPoint endPoint, String text) throws Exception {
+        Callback.Completable written = new Callback.Completable();
+        endPoint.write(written, ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
+        written.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
     @BeforeEach
     void start() {
         for (int i = 0; i < 2; i++) {
@@ -511,6 +534,27 @@
         }
     }
 
+    @Test
+    void responseHeadWithoutEndIsFailureOfTarget() throws Exception {
+        configure();
+        scriptedResponses.add(endless("HTTP/1.1 200 OK\r\n", "x: y\r\n"));
+        assertThat("another target responds", get("/safe/").getStatus(), equalTo(200));
+        assertThat(receivedRequests, hasSize(2));
+        scriptedResponses.add(endless("", "garbage "));
+        assertThat("the request may have run", get("/once/").getStatus(), equalTo(502));
+        assertThat(receivedRequests, hasSize(3));
+    }
+
+    @Test
+    void responseBodyWithoutEndIsAbortedAtDeadline() throws Exception {
+        configure();
+        String head = "HTTP/1.1 200 OK\r\nt-seal: 1\r\nt-id: id-1\r\ntransfer-encoding: chunked\r\n\r\n";
+        scriptedResponses.add(endless(head + "1;", "extension"));
+        org.eclipse.jetty.client.Request request =
+                request("/once/").headers(headers -> headers.put("t-timeout", "300"));
+        assertThat(request.timeout(WAIT_SECONDS, TimeUnit.SECONDS).send().getStatus(), equalTo(504));
+    }
+
     private ContentResponse post(String path, String requestId) throws Exception {
         return request(path)
                 .method("POST")
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
@@ -6,7 +6,9 @@
 import dev.bluebellshunt.core.error.Step;
 import dev.bluebellshunt.core.target.TargetView;
 import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.transport.HardTimeout;
 import java.io.InputStream;
+import java.time.Duration;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -43,8 +45,8 @@
     @Override
     public TargetResponse send(TargetView target, TargetRequest request) {
         AtomicBoolean requestBegun = new AtomicBoolean();
-        Request jettyRequest = (request.atMostOnce() ? unpooledClient : pooledClient)
-                .newRequest("http://" + target.spec().address() + request.pathAndQuery())
+        HttpClient client = request.atMostOnce() ? unpooledClient : pooledClient;
+        Request jettyRequest = client.newRequest("http://" + target.spec().address() + request.pathAndQuery())
                 .method(request.method())
                 .headers(headers -> headers.add(request.headers()))
                 .body(new BytesRequestContent(contentType(request.headers()), request.body()))
@@ -54,7 +56,11 @@
         }
         InputStreamResponseListener listener = new InputStreamResponseListener();
         long timeoutMillis = Math.max(1, request.deadline().remaining(clock).toMillis());
-        jettyRequest.timeout(timeoutMillis, TimeUnit.MILLISECONDS).send(listener);
+        HardTimeout hardTimeout = HardTimeout.start(client, jettyRequest, Duration.ofMillis(timeoutMillis));
+        jettyRequest
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .onComplete(result -> hardTimeout.close())
+                .send(listener);
         try {
             Response response = listener.get(timeoutMillis, TimeUnit.MILLISECONDS);
             return new JettyTargetResponse(jettyRequest, response, listener.getInputStream());
--- a/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
@@ -57,6 +57,7 @@
         client.setIdleTimeout(IDLE_TIMEOUT_MS);
         client.setUserAgentField(null);
         client.setMaxRequestHeadersSize(MAX_HEADER_BYTES);
+        client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
         try {
             client.start();
         } catch (Exception e) {
--- a/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
@@ -94,9 +94,11 @@
         if (body != null) {
             request.body(new StringRequestContent("application/json", write(body), StandardCharsets.UTF_8));
         }
+        HardTimeout hardTimeout = HardTimeout.start(http, request, timeout);
         request.send(new BufferingResponseListener(MAX_RESPONSE_BYTES) {
             @Override
             public void onComplete(Result result) {
+                hardTimeout.close();
                 if (result.isFailed()) {
                     response.completeExceptionally(failedRequest(address, result));
                 } else {
--- /dev/null
+++ b/transport/src/test/java/dev/bluebellshunt/transport/EndlessResponseTests.java
@@ -0,0 +1,168 @@
+package dev.bluebellshunt.transport;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.error.Step;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.http.HttpMethod;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against servers that send bytes without end which are no response, until the client closes the connection. */
+class EndlessResponseTests {
+
+    /** Limits the duration of a test that hangs. */
+    private static final long WAIT_SECONDS = 20;
+
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(300);
+
+    /** Far more than the maximum size of a head and the buffers of both sockets. */
+    private static final long MAX_HEAD_BYTES_SENT = 32L * 1024 * 1024;
+
+    private final Closer closer = new Closer();
+    private final JsonHttpClient client =
+            new JsonHttpClient(HttpClients.start("test", closer), JsonHttpClient.newMapper(), Step.FORWARD);
+
+    /** What is sent in place of a response: a text once, and then another one without end. */
+    interface Endless {
+        String start();
+
+        String repeated();
+    }
+
+    enum Head implements Endless {
+        NO_LINE_END("", "x"),
+        EMPTY_LINES("", "\r\n"),
+        STATUS_LINE("HTTP/1.1 200 ", "fine "),
+        FIELD_NAME("HTTP/1.1 200 OK\r\n", "x"),
+        FIELD_VALUE("HTTP/1.1 200 OK\r\nx: ", "y"),
+        FIELDS("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "x: y\r\n");
+
+        private final String start;
+        private final String repeated;
+
+        Head(String start, String repeated) {
+            this.start = start;
+            this.repeated = repeated;
+        }
+
+        @Override
+        public String start() {
+            return start;
+        }
+
+        @Override
+        public String repeated() {
+            return repeated;
+        }
+    }
+
+    enum Body implements Endless {
+        CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+        CHUNK_EXTENSION("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"),
+        CHUNK_EXTENSION_AFTER_CONTENT("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;", "x"),
+        CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n{\r\n"),
+        CONTENT_UNTIL_CLOSE("HTTP/1.1 200 OK\r\n\r\n", "{"),
+        CONTENT_OF_HUGE_LENGTH("HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", "{");
+
+        private final String start;
+        private final String repeated;
+
+        Body(String start, String repeated) {
+            this.start = start;
+            this.repeated = repeated;
+        }
+
+        @Override
+        public String start() {
+            return start;
+        }
+
+        @Override
+        public String repeated() {
+            return repeated;
+        }
+    }
+
+    /** Responds to the first request until the client closes the connection, and returns the number of bytes sent. */
+    private static CompletableFuture<Long> serve(ServerSocket server, Endless response) {
+        CompletableFuture<Long> sent = new CompletableFuture<>();
+        byte[] repeated = response.repeated().repeat(1_024).getBytes(StandardCharsets.US_ASCII);
+        Thread.ofVirtual().start(() -> {
+            long bytes = 0;
+            try (Socket connection = server.accept()) {
+                awaitRequest(connection);
+                OutputStream output = connection.getOutputStream();
+                output.write(response.start().getBytes(StandardCharsets.US_ASCII));
+                while (true) {
+                    output.write(repeated);
+                    bytes += repeated.length;
+                }
+            } catch (IOException clientClosedConnection) {
+                sent.complete(bytes);
+            }
+        });
+        return sent;
+    }
+
+    private static void awaitRequest(Socket connection) throws IOException {
+        if (connection.getInputStream().read() < 0) {
+            throw new IOException("no request was received");
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    /** Sends a request, and returns why it failed and how many bytes the server sent. */
+    private Failure send(Endless response, Duration timeout) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Long> sent = serve(server, response);
+            CompletableFuture<JsonHttpClient.Response> received =
+                    client.send(HttpMethod.GET, "127.0.0.1:" + server.getLocalPort(), "/", null, timeout);
+            ExecutionException failure =
+                    assertThrows(ExecutionException.class, () -> received.get(WAIT_SECONDS, TimeUnit.SECONDS));
+            return new Failure(rootCause(failure), sent.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
+    private static Throwable rootCause(Throwable failure) {
+        Throwable cause = failure.getCause();
+        return cause == null ? failure : rootCause(cause);
+    }
+
+    private record Failure(Throwable cause, long bytesSent) {}
+
+    @ParameterizedTest
+    @EnumSource
+    void responseWithoutEndOfHeadFailsAtMaximumSize(Head head) throws Exception {
+        Failure failure = send(head, Duration.ofSeconds(2 * WAIT_SECONDS));
+        assertThat(failure.cause(), not(instanceOf(TimeoutException.class)));
+        assertThat(failure.bytesSent(), lessThan(MAX_HEAD_BYTES_SENT));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void responseWithoutEndOfBodyEndsAtTimeout(Body body) throws Exception {
+        send(body, SHORT_TIMEOUT);
+    }
+}
