Keep connections open during a shutdown until a crossing request has been read

What callers saw: a request on a connection that had just been opened, or that was just about to be read, ended with a closed connection and no response when the VM began to reject requests. Cause: the drain closed every connection without a request in progress at one moment; a request that had been sent but not read yet is not in progress. Also, a response whose request began before the drain did not say that its connection would be closed. Class: absence of a request judged at an instant, where a message may be under way. Change: QuietConnections closes a connection after it has been idle for a second from the moment at which requests are rejected; until then a request is answered with 503. Every response written during the drain carries Connection: close, decided when the head is written. Why it works: a request that crosses is read within the second and answered as not run.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -256,9 +256,9 @@
     /**
      * Drains this VM and returns within the grace period.
      *
-     * <p>Requests are served until the load balancer has noticed the drain. Then idle connections are closed, so
-     * that callers reconnect to another VM, and further requests are rejected as not executed, since they might not
-     * finish in time.
+     * <p>Requests are served until the load balancer has noticed the drain. Then further requests are rejected as not
+     * executed, since they might not finish in time, and connections that stay idle are closed, so that callers
+     * reconnect to another VM.
      */
     public void drain() {
         Deadline drainDeadline = Deadline.after(clock, settings.gracePeriod().minus(STOP_MARGIN));
@@ -268,9 +268,11 @@
         while (!balancerDeadline.hasPassed(clock)) {
             LockSupport.parkNanos(STOP_POLL_INTERVAL.toNanos());
         }
+        QuietConnections connections = new QuietConnections(clock, handler::isIdle);
+        int open = connections.closeQuiet(callers.getConnectedEndPoints());
         handler.rejectNewRequests();
-        callers.getConnectedEndPoints().stream().filter(handler::isIdle).forEach(EndPoint::close);
-        while (!drainDeadline.hasPassed(clock) && drain.openRequests() > 0) {
+        while (!drainDeadline.hasPassed(clock) && (open > 0 || drain.openRequests() > 0)) {
+            open = connections.closeQuiet(callers.getConnectedEndPoints());
             LockSupport.parkNanos(STOP_POLL_INTERVAL.toNanos());
         }
         log.info("The VM has stopped: {} requests are open.", drain.openRequests());
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -477,6 +477,9 @@
                     "The target responded with status " + status + " but may have run the request.");
         }
         writer.copyHead(response);
+        if (context.drainState().isDraining()) {
+            writer.closeConnection();
+        }
         recordFirstByte(caller.route());
         if (status >= SERVER_ERROR_STATUS) {
             result = "target_error";
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -63,9 +63,6 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long receivedNanos = context.clock().nanos() - Math.max(0, NanoTime.since(request.getHeadersNanoTime()));
-        if (context.drainState().isDraining()) {
-            response.getHeaders().put(HttpHeader.CONNECTION, "close");
-        }
         context.drainState().requestStarted();
         EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
         busyEndPoints.add(endPoint);
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Blocker;
 import org.eclipse.jetty.util.Callback;
@@ -24,6 +25,11 @@
         headers.forEach(field -> response.getHeaders().add(field));
     }
 
+    /** Closes the caller's connection after this response. Must be called before the first write. */
+    void closeConnection() {
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
+
     /** Writes a chunk of the body, and blocks until the write has completed. */
     void write(ByteBuffer bytes) throws IOException {
         try (Blocker.Callback blocker = Blocker.callback()) {
