Cancel the hard timeout when the request completes, not when its response has been forwarded

What callers could have seen: a request broken off because an earlier one on the same connection had been timed out. Cause: the hard timeout of a request through the relay was cancelled only after its response had been forwarded to the caller. A connection goes back to the pool when the response has been read, so a slow caller let the timeout of a complete request close a connection that another request was using. Change: HardTimeout sets Jetty's timeout and its own together and is cancelled by the request's completion. Why it works: Jetty returns a connection to the pool only for a request that completed; one that passed Jetty's timeout fails and its connection is closed.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -25,7 +25,6 @@
     private static final long ABANDON_POLL_INTERVAL_MS = 100;
 
     private final Request request;
-    private final HardTimeout hardTimeout;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean requestBegun = new AtomicBoolean();
     private final Duration timeout;
@@ -39,13 +38,12 @@
                 .method(outgoing.method())
                 .headers(fields -> fields.add(headers))
                 .onRequestBegin(r -> requestBegun.set(true))
-                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
         if (outgoing.body().length > 0) {
             String type = headers.get(HttpHeader.CONTENT_TYPE);
             request.body(new BytesRequestContent(type == null ? "application/octet-stream" : type, outgoing.body()));
         }
-        this.hardTimeout = HardTimeout.start(httpClient, request, timeout);
+        HardTimeout.start(httpClient, request, timeout);
     }
 
     /**
@@ -108,7 +106,6 @@
     /** Ends the exchange, and aborts it if the response has not been read completely. */
     @Override
     public void close() {
-        hardTimeout.close();
         abort(new IOException("the response is no longer needed"));
     }
 
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
@@ -56,11 +56,8 @@
         }
         InputStreamResponseListener listener = new InputStreamResponseListener();
         long timeoutMillis = Math.max(1, request.deadline().remaining(clock).toMillis());
-        HardTimeout hardTimeout = HardTimeout.start(client, jettyRequest, Duration.ofMillis(timeoutMillis));
-        jettyRequest
-                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
-                .onComplete(result -> hardTimeout.close())
-                .send(listener);
+        HardTimeout.start(client, jettyRequest, Duration.ofMillis(timeoutMillis));
+        jettyRequest.send(listener);
         try {
             Response response = listener.get(timeoutMillis, TimeUnit.MILLISECONDS);
             return new JettyTargetResponse(jettyRequest, response, listener.getInputStream());
--- a/transport/src/main/java/dev/bluebellshunt/transport/HardTimeout.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HardTimeout.java
@@ -13,28 +13,26 @@
  * <p>Jetty's own timeout takes effect only when its parser waits for input. A server that keeps sending bytes which are
  * no content, such as an endless chunk extension, prevents that.
  */
-public final class HardTimeout implements AutoCloseable {
+public final class HardTimeout {
 
     /** Time for Jetty's own timeout to take effect. */
     private static final long MARGIN_MS = 100;
 
-    private final Scheduler.Task task;
-
-    private HardTimeout(Scheduler.Task task) {
-        this.task = task;
-    }
+    private HardTimeout() {}
 
     /**
-     * Starts the timeout of a request that is about to be sent.
+     * Starts the timeout of a request that is about to be sent. It is cancelled when the request completes, after which
+     * its connection may serve other requests.
      *
      * @param http the started client that sends the request
-     * @param request the request
+     * @param request the request, on which Jetty's own timeout is set too
      * @param timeout the timeout of the request
-     * @return the timeout, which must be closed when the request is complete
      */
-    public static HardTimeout start(HttpClient http, Request request, Duration timeout) {
-        return new HardTimeout(http.getScheduler()
-                .schedule(() -> closeConnection(request), timeout.toMillis() + MARGIN_MS, TimeUnit.MILLISECONDS));
+    public static void start(HttpClient http, Request request, Duration timeout) {
+        request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        Scheduler.Task task = http.getScheduler()
+                .schedule(() -> closeConnection(request), timeout.toMillis() + MARGIN_MS, TimeUnit.MILLISECONDS);
+        request.onComplete(result -> task.cancel());
     }
 
     private static void closeConnection(Request request) {
@@ -42,10 +40,4 @@
             connection.getEndPoint().close();
         }
     }
-
-    /** Cancels the timeout. */
-    @Override
-    public void close() {
-        task.cancel();
-    }
 }
--- a/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
@@ -12,7 +12,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -89,16 +88,14 @@
         CompletableFuture<Response> response = new CompletableFuture<>();
         Request request = http.newRequest("http://" + address + pathAndQuery)
                 .method(method)
-                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .headers(fields -> headers.forEach(fields::put));
         if (body != null) {
             request.body(new StringRequestContent("application/json", write(body), StandardCharsets.UTF_8));
         }
-        HardTimeout hardTimeout = HardTimeout.start(http, request, timeout);
+        HardTimeout.start(http, request, timeout);
         request.send(new BufferingResponseListener(MAX_RESPONSE_BYTES) {
             @Override
             public void onComplete(Result result) {
-                hardTimeout.close();
                 if (result.isFailed()) {
                     response.completeExceptionally(failedRequest(address, result));
                 } else {
