Quarantine application requests that crash targets in the router too

ApplicationCall kept nothing about a request after its response, CompletionCall did. Evidence: ApplicationCrashTests fails on the code before for both kinds of route (sends without limit, bound 3, below). Change: both calls share the check, the record of a crash and the error in ProxySupport; a repetition avoids the targets that crashed under it. Entries of suspects live 31 minutes, just over the longest quarantine, since they also exclude targets. Why it works: a crash is recorded where a failure is handled, before the caller can repeat, and each send asks first. Measured: ApplicationCrashTests, CrashSuspectsTests, OnceFaultMatrixTests (403) and CompletionFaultMatrixTests (2974) pass.

--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -50,7 +50,7 @@
     static final int MAX_REPORT_ENTRIES = 100;
 
     /** How long an entry is kept after its last recorded crash; exceeds the longest quarantine. */
-    static final Duration ENTRY_TTL = Duration.ofHours(1);
+    static final Duration ENTRY_TTL = Duration.ofMinutes(31);
 
     private final MonotonicClock clock;
     private final SequencedMap<Long, Entry> entries = new LinkedHashMap<>();
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.Base64;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpFields;
@@ -46,6 +47,7 @@
     private final ApplicationRequest request;
     private final CallerResponse callerResponse;
     private final PrefixChain routingKey;
+    private final long fingerprint;
     private final Set<String> excludedTargets = new HashSet<>();
     private boolean responseReceived;
 
@@ -64,6 +66,14 @@
         this.request = request;
         this.callerResponse = callerResponse;
         this.routingKey = PrefixChain.ofHashes(support.random().nextLong(), new long[0], 0);
+        this.fingerprint = Hashing.komihash5_0()
+                .hashStream()
+                .putString(context.workspaceName())
+                .putString(request.route().name())
+                .putString(request.method())
+                .putString(request.pathAndQuery())
+                .putByteArray(request.body())
+                .getAsLong();
     }
 
     /**
@@ -79,6 +89,9 @@
                     Step.PARSE,
                     "This route requires an Idempotency-Key header to detect duplicate requests.");
         }
+        if (support.isQuarantined(fingerprint)) {
+            throw ProxySupport.quarantined();
+        }
         long cost = request.route().cost();
         Workspace workspace = context.workspace();
         if (workspace != null) {
@@ -112,6 +125,9 @@
                     if (!support.tryAcquireRetry(context, failed.failure())) {
                         throw failed.failure();
                     }
+                    if (support.isQuarantined(fingerprint)) {
+                        throw ProxySupport.quarantined();
+                    }
                     support.sleepBeforeRetry(attempt, context.deadline());
                 }
             }
@@ -194,6 +210,7 @@
 
     private TargetView selectTarget() {
         String service = request.route().service();
+        excludedTargets.addAll(support.crashSuspects().crashedTargets(fingerprint));
         return support.selector()
                 .select(context.snapshot().routing().applications(service), routingKey, excludedTargets)
                 .orElseThrow(() -> support.noTargetAvailable(service))
@@ -243,6 +260,7 @@
             }
             String contentType = response.headers().get(HttpHeader.CONTENT_TYPE);
             responseReceived = true;
+            support.crashSuspects().recordCompletion(fingerprint);
             return new AttemptResult.Completed(new BufferedResponse(
                     response.status(), contentType == null ? "application/octet-stream" : contentType, body));
         } catch (IOException e) {
@@ -252,6 +270,7 @@
 
     private AttemptResult recordFailure(TargetView target, ShuntException failure) {
         excludedTargets.add(target.name());
+        support.recordIfCrash(target, failure, List.of(fingerprint));
         if (failure.step() == Step.CONNECT || failure.getCause() instanceof IOException) {
             support.markSuspect(target);
         }
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -102,8 +102,8 @@
      * @throws IOException if the caller has disconnected
      */
     public void run() throws IOException {
-        if (isQuarantined()) {
-            throw quarantined();
+        if (support.isQuarantined(fingerprint)) {
+            throw ProxySupport.quarantined();
         }
         long reservedTokens = prefixChain.tokens() + request.maxTokens();
         support.limiter().admit(workspace, reservedTokens);
@@ -144,8 +144,8 @@
             if (!progress.canResume() || !support.tryAcquireRetry(context, failure)) {
                 throw endBrokenResponse(failure);
             }
-            if (isQuarantined()) {
-                throw endBrokenResponse(quarantined());
+            if (support.isQuarantined(fingerprint)) {
+                throw endBrokenResponse(ProxySupport.quarantined());
             }
             support.sleepBeforeRetry(attempt, context.deadline());
         }
@@ -203,27 +203,13 @@
 
     private void recordFailure(TargetView target, ShuntException failure) {
         excludedTargets.add(target.name());
-        if (isCrash(failure)) {
-            support.crashSuspects()
-                    .recordCrash(
-                            target.name(),
-                            target.spec().failureDomain(),
-                            support.runningRequests().runningOn(target.name()));
-        }
-        if (failure.step() == Step.CONNECT || isCrash(failure)) {
+        support.recordIfCrash(target, failure, support.runningRequests().runningOn(target.name()));
+        if (failure.step() == Step.CONNECT || ProxySupport.isCrash(failure)) {
             support.markSuspect(target);
         }
         log.warn("Attempt failed at step {} on target {}", failure.step().wireName(), failure.peer());
     }
 
-    /** Returns whether the connection was lost while the target may have been running the request. */
-    private static boolean isCrash(ShuntException failure) {
-        if (failure.code() == ErrorCode.STREAM_BROKEN) {
-            return true;
-        }
-        return failure.step() == Step.FORWARD && failure.getCause() instanceof IOException;
-    }
-
     private TargetRequest buildTargetRequest(Tracing.TraceSpan span) {
         HttpFields.Mutable headers = HttpFields.build()
                 .put(HttpHeader.CONTENT_TYPE, "application/json")
@@ -381,19 +367,6 @@
                 cause);
     }
 
-    private boolean isQuarantined() {
-        return !support.crashSuspects().acquireRun(fingerprint).isZero();
-    }
-
-    private static ShuntException quarantined() {
-        return new ShuntException(
-                ErrorCode.QUARANTINED,
-                Step.ROUTE,
-                "self",
-                Outcome.UNKNOWN,
-                "Several targets crashed while running this request.");
-    }
-
     /** Ends a response that has started with an error event, so that the caller can't mistake it for a complete one. */
     private ShuntException endBrokenResponse(ShuntException failure) throws IOException {
         if (callerResponse.isStarted()) {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ProxySupport.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ProxySupport.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.router.proxy;
 
 import dev.bluebellshunt.core.error.ErrorCode;
+import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
 import dev.bluebellshunt.core.limit.WorkspaceLimiter;
@@ -17,7 +18,9 @@
 import dev.bluebellshunt.core.usage.UsageLedger;
 import dev.bluebellshunt.router.telemetry.RouterMetrics;
 import dev.bluebellshunt.router.telemetry.Tracing;
+import java.io.IOException;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -96,6 +99,35 @@
         targetFailureListener.accept(target.name());
     }
 
+    /** Returns whether the connection was lost while the target may have been running a request. */
+    static boolean isCrash(ShuntException failure) {
+        if (failure.code() == ErrorCode.STREAM_BROKEN) {
+            return true;
+        }
+        return failure.step() == Step.FORWARD && failure.getCause() instanceof IOException;
+    }
+
+    /** Records a crash of a target against the requests that it was running, if a failure is one. */
+    void recordIfCrash(TargetView target, ShuntException failure, Collection<Long> fingerprints) {
+        if (isCrash(failure)) {
+            crashSuspects.recordCrash(target.name(), target.spec().failureDomain(), fingerprints);
+        }
+    }
+
+    /** Returns whether a request must not run, because several targets crashed while running it. */
+    boolean isQuarantined(long fingerprint) {
+        return !crashSuspects.acquireRun(fingerprint).isZero();
+    }
+
+    static ShuntException quarantined() {
+        return new ShuntException(
+                ErrorCode.QUARANTINED,
+                Step.ROUTE,
+                "self",
+                Outcome.UNKNOWN,
+                "Several targets crashed while running this request.");
+    }
+
     ShuntException noTargetAvailable(String service) {
         return ShuntException.notRun(
                 ErrorCode.NO_TARGET,
