--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -19,7 +19,7 @@
  *
  * <p>A request is identified by the fingerprint of its workspace and content. When a target crashes, the crash is
  * recorded against each request that it was running, most of which did not cause it. A complete response to a
- * request, or a later sign of life of the target, clears the crash again. A request against which the crashes of
+ * request, or evidence that the target is still running, clears the crash again. A request against which the crashes of
  * {@link #TARGETS_UNTIL_QUARANTINE} targets are recorded is quarantined. The quarantine ends by itself, so that a
  * request that was only present when several targets were lost can run again; it lasts twice as long after each
  * further crash.
@@ -161,7 +161,7 @@
      * @return for each fingerprint, the failure domains of crashed targets by target name
      */
     public synchronized Map<Long, Map<String, String>> report() {
-        return newest(entry -> true);
+        return newestCrashes(entry -> true);
     }
 
     /**
@@ -182,7 +182,7 @@
             }
         });
         return new CrashReport(
-                newest(entry -> isQuarantined(entry) || entry.lastCrashNanos - oldestNanos >= 0), cleared);
+                newestCrashes(entry -> isQuarantined(entry) || entry.lastCrashNanos - oldestNanos >= 0), cleared);
     }
 
     /**
@@ -191,18 +191,18 @@
      * @return for each fingerprint, the failure domains of crashed targets by target name
      */
     public synchronized Map<Long, Map<String, String>> observedQuarantines() {
-        return newest(entry -> isQuarantined(entry) && entry.observed);
+        return newestCrashes(entry -> isQuarantined(entry) && entry.observed);
     }
 
-    private Map<Long, Map<String, String>> newest(Predicate<Entry> condition) {
+    private Map<Long, Map<String, String>> newestCrashes(Predicate<Entry> condition) {
         Map<Long, Map<String, String>> report = new HashMap<>();
-        for (Map.Entry<Long, Entry> newest : entries.sequencedEntrySet().reversed()) {
-            Entry entry = newest.getValue();
+        for (Map.Entry<Long, Entry> row : entries.sequencedEntrySet().reversed()) {
+            Entry entry = row.getValue();
             if (report.size() >= MAX_REPORT_ENTRIES) {
                 break;
             }
             if (!entry.crashes.isEmpty() && !entry.expiry.hasPassed(clock) && condition.test(entry)) {
-                report.put(newest.getKey(), entry.failureDomains());
+                report.put(row.getKey(), entry.failureDomains());
             }
         }
         return report;
--- a/transport/src/test/java/dev/bluebellshunt/transport/EndlessResponseTests.java
+++ b/transport/src/test/java/dev/bluebellshunt/transport/EndlessResponseTests.java
@@ -30,6 +30,8 @@
     /** Limits the duration of a test that hangs. */
     private static final long WAIT_SECONDS = 20;
 
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     private static final Duration SHORT_TIMEOUT = Duration.ofMillis(300);
 
     /** Far more than the maximum size of a head and the buffers of both sockets. */
@@ -40,77 +42,40 @@
             new JsonHttpClient(HttpClients.start("test", closer), JsonHttpClient.newMapper(), Step.FORWARD);
 
     /** What is sent in place of a response: a text once, and then another one without end. */
-    interface Endless {
-        String start();
-
-        String repeated();
-    }
-
-    enum Head implements Endless {
-        NO_LINE_END("", "x"),
-        EMPTY_LINES("", "\r\n"),
-        STATUS_LINE("HTTP/1.1 200 ", "fine "),
-        FIELD_NAME("HTTP/1.1 200 OK\r\n", "x"),
-        FIELD_VALUE("HTTP/1.1 200 OK\r\nx: ", "y"),
-        FIELDS("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
-        TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "x: y\r\n");
+    enum Endless {
+        HEAD_WITHOUT_LINE_END("", "x"),
+        HEAD_OF_EMPTY_LINES("", "\r\n"),
+        HEAD_STATUS_LINE("HTTP/1.1 200 ", "fine "),
+        HEAD_FIELD_NAME("HTTP/1.1 200 OK\r\n", "x"),
+        HEAD_FIELD_VALUE("HTTP/1.1 200 OK\r\nx: ", "y"),
+        HEAD_FIELDS("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        HEAD_AFTER_BODY(CHUNKED + "0\r\n", "x: y\r\n"),
+        BODY_CHUNK_SIZE(CHUNKED, "0"),
+        BODY_CHUNK_EXTENSION(CHUNKED + "1;", "x"),
+        BODY_CHUNK_EXTENSION_AFTER_CONTENT(CHUNKED + "1\r\n{\r\n1;", "x"),
+        BODY_CHUNKS(CHUNKED, "1\r\n{\r\n"),
+        BODY_UNTIL_CLOSE("HTTP/1.1 200 OK\r\n\r\n", "{"),
+        BODY_OF_HUGE_LENGTH("HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", "{");
 
         private final String start;
         private final String repeated;
 
-        Head(String start, String repeated) {
+        Endless(String start, String repeated) {
             this.start = start;
             this.repeated = repeated;
         }
-
-        @Override
-        public String start() {
-            return start;
-        }
-
-        @Override
-        public String repeated() {
-            return repeated;
-        }
-    }
-
-    enum Body implements Endless {
-        CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
-        CHUNK_EXTENSION("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"),
-        CHUNK_EXTENSION_AFTER_CONTENT("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;", "x"),
-        CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n{\r\n"),
-        CONTENT_UNTIL_CLOSE("HTTP/1.1 200 OK\r\n\r\n", "{"),
-        CONTENT_OF_HUGE_LENGTH("HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", "{");
-
-        private final String start;
-        private final String repeated;
-
-        Body(String start, String repeated) {
-            this.start = start;
-            this.repeated = repeated;
-        }
-
-        @Override
-        public String start() {
-            return start;
-        }
-
-        @Override
-        public String repeated() {
-            return repeated;
-        }
     }
 
     /** Responds to the first request until the client closes the connection, and returns the number of bytes sent. */
     private static CompletableFuture<Long> serve(ServerSocket server, Endless response) {
         CompletableFuture<Long> sent = new CompletableFuture<>();
-        byte[] repeated = response.repeated().repeat(1_024).getBytes(StandardCharsets.US_ASCII);
+        byte[] repeated = response.repeated.repeat(1_024).getBytes(StandardCharsets.US_ASCII);
         Thread.ofVirtual().start(() -> {
             long bytes = 0;
             try (Socket connection = server.accept()) {
                 awaitRequest(connection);
                 OutputStream output = connection.getOutputStream();
-                output.write(response.start().getBytes(StandardCharsets.US_ASCII));
+                output.write(response.start.getBytes(StandardCharsets.US_ASCII));
                 while (true) {
                     output.write(repeated);
                     bytes += repeated.length;
@@ -153,16 +118,16 @@
     private record Failure(Throwable cause, long bytesSent) {}
 
     @ParameterizedTest
-    @EnumSource
-    void responseWithoutEndOfHeadFailsAtMaximumSize(Head head) throws Exception {
+    @EnumSource(mode = EnumSource.Mode.MATCH_ALL, names = "HEAD_.*")
+    void responseWithoutEndOfHeadFailsAtMaximumSize(Endless head) throws Exception {
         Failure failure = send(head, Duration.ofSeconds(2 * WAIT_SECONDS));
         assertThat(failure.cause(), not(instanceOf(TimeoutException.class)));
         assertThat(failure.bytesSent(), lessThan(MAX_HEAD_BYTES_SENT));
     }
 
     @ParameterizedTest
-    @EnumSource
-    void responseWithoutEndOfBodyEndsAtTimeout(Body body) throws Exception {
+    @EnumSource(mode = EnumSource.Mode.MATCH_ALL, names = "BODY_.*")
+    void responseWithoutEndOfBodyEndsAtTimeout(Endless body) throws Exception {
         send(body, SHORT_TIMEOUT);
     }
 }
