Abort a request at its hard timeout besides closing its connection

What callers could have seen: nothing on its own; the hard timeout relied on Jetty's to have taken effect where the parser waits. Cause: closing an endpoint while its connection waits for input does not fail the request. Change: the request is aborted, then its connection is closed. The test runs the scheduled task itself and has no real time; it checks both that an incomplete request fails and that a complete one leaves its connection alone. Measured: HardTimeoutTests#incompleteRequestFailsAtTimeout failed before (no failure after 20 s) and passes; EndlessResponseTests (13) and HttpClientsTests pass.

--- a/transport/src/main/java/dev/bluebellshunt/transport/HardTimeout.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HardTimeout.java
@@ -2,13 +2,14 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Closes the connection of a request that is not complete shortly after its timeout.
+ * Aborts a request that is not complete shortly after its timeout, and closes its connection.
  *
  * <p>Jetty's own timeout takes effect only when its parser waits for input. A server that keeps sending bytes which are
  * no content, such as an endless chunk extension, prevents that.
@@ -29,13 +30,20 @@
      * @param timeout the timeout of the request
      */
     public static void start(HttpClient http, Request request, Duration timeout) {
+        start(http.getScheduler(), request, timeout);
+    }
+
+    static void start(Scheduler scheduler, Request request, Duration timeout) {
         request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
-        Scheduler.Task task = http.getScheduler()
-                .schedule(() -> closeConnection(request), timeout.toMillis() + MARGIN_MS, TimeUnit.MILLISECONDS);
+        Scheduler.Task task =
+                scheduler.schedule(() -> abort(request), timeout.toMillis() + MARGIN_MS, TimeUnit.MILLISECONDS);
         request.onComplete(result -> task.cancel());
     }
 
-    private static void closeConnection(Request request) {
+    /** Aborts a request and takes the input away from its parser, which a busy parser needs to notice the abort. */
+    @SuppressWarnings("FutureReturnValueIgnored") // the request's listeners are notified of the abort
+    private static void abort(Request request) {
+        request.abort(new TimeoutException("the request is not complete after its timeout"));
         if (request.getConnection() instanceof Connection connection) {
             connection.getEndPoint().close();
         }
