Answer 504 when the timeout of a request breaks off its response

What callers could have seen: 502 in place of 504 for a response whose timeout expired while the target kept sending, and a crash recorded against the request although the relay had closed the connection. Cause: the hard timeout aborts the request and closes its connection; the reader may see either first, and only one looked like a timeout. The relay now asks why the request was aborted, not how the read failed. RelayDaemonTests pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -431,14 +431,14 @@
                     ? readFirstChunk(body, buffer)
                     : body.readNBytes(MAX_BUFFERED_RESPONSE_BYTES);
         } catch (IOException e) {
-            handleBodyFailure(target, e);
+            handleBodyFailure(target, exchange, e);
             return false;
         }
         beginResponse(response);
         if (firstBytes.length < MAX_BUFFERED_RESPONSE_BYTES && route.kind() != RouteKind.STREAM) {
             writer.setLastChunk(firstBytes);
         } else {
-            copyStream(firstBytes, body, buffer, target);
+            copyStream(firstBytes, body, buffer, target, exchange);
         }
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
@@ -450,16 +450,16 @@
         return read < 0 ? new byte[0] : java.util.Arrays.copyOf(buffer, read);
     }
 
-    private void handleBodyFailure(LiveTarget target, IOException failure) throws IOException {
+    private void handleBodyFailure(LiveTarget target, TargetExchange failed, IOException failure) throws IOException {
         if (isCallerDisconnected()) {
             throw failure;
         }
-        if (!TargetExchange.isTimeout(failure) || target.load().isStalled()) {
+        if (!failed.isTimeout() || target.load().isStalled()) {
             recordSuspectedCrash(target);
         }
         recordFailure("broken", String.valueOf(failure.getMessage()));
         target.load().requestFailed();
-        if (TargetExchange.isTimeout(failure)) {
+        if (failed.isTimeout()) {
             throw noResponse(
                     ErrorCode.DEADLINE_EXCEEDED,
                     "The target " + lastTarget + " did not complete its response in time.");
@@ -512,7 +512,9 @@
     }
 
     /** Forwards chunks as they arrive. A failure leaves the response incomplete, so that the caller detects it. */
-    private void copyStream(byte[] firstBytes, InputStream body, byte[] buffer, LiveTarget target) throws IOException {
+    private void copyStream(
+            byte[] firstBytes, InputStream body, byte[] buffer, LiveTarget target, TargetExchange copied)
+            throws IOException {
         writer.write(ByteBuffer.wrap(firstBytes));
         while (true) {
             int read;
@@ -521,7 +523,7 @@
             } catch (IOException e) {
                 lastFailureReason = String.valueOf(e.getMessage());
                 if (!isCallerDisconnected()) {
-                    if (!TargetExchange.isTimeout(e) || target.load().isStalled()) {
+                    if (!copied.isTimeout() || target.load().isStalled()) {
                         recordSuspectedCrash(target);
                     }
                     target.load().requestFailed();
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -93,9 +93,12 @@
         return listener.getInputStream();
     }
 
-    /** Whether reading the body failed because the timeout of the request expired. */
-    static boolean isTimeout(IOException failure) {
-        return failure.getCause() instanceof TimeoutException;
+    /**
+     * Whether the timeout of the request has expired. Reading the body may then fail because of the timeout or of the
+     * connection that it closes.
+     */
+    boolean isTimeout() {
+        return request.getAbortCause() instanceof TimeoutException;
     }
 
     @SuppressWarnings("FutureReturnValueIgnored") // the thread that waits for the response is notified of the abort
