--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
+import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -423,7 +424,7 @@
     private boolean forwardResponse(
             LiveTarget target, RelayRoute route, TargetExchange exchange, org.eclipse.jetty.client.Response response)
             throws IOException {
-        InputStream body = exchange.responseBody();
+        TargetResponseBody body = exchange.responseBody(response);
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         byte[] firstBytes;
         try {
@@ -442,9 +443,33 @@
         }
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
+        recordResponseEnd(body);
         return true;
     }
 
+    private void recordResponseEnd(TargetResponseBody body) {
+        context.metrics().responseEnd(body.framing().label(), body.isInsideEvent());
+        if (body.framing() != ResponseFraming.CONNECTION_CLOSE && !body.isInsideEvent()) {
+            return;
+        }
+        context.decisionLog()
+                .write(
+                        "unframed_answer",
+                        requestId(),
+                        "target",
+                        lastTarget,
+                        "target_born_ms",
+                        lastTargetBornMillis,
+                        "framing",
+                        body.framing().label(),
+                        "bytes",
+                        body.size(),
+                        "inside_event",
+                        body.isInsideEvent(),
+                        "ms",
+                        elapsedMillis());
+    }
+
     private static byte[] readFirstChunk(InputStream body, byte[] buffer) throws IOException {
         int read = body.read(buffer);
         return read < 0 ? new byte[0] : java.util.Arrays.copyOf(buffer, read);
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -3,7 +3,6 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.transport.HardTimeout;
 import java.io.IOException;
-import java.io.InputStream;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -88,9 +87,9 @@
         return new TargetRequestException(requestBegun.get(), cause instanceof TimeoutException, false, cause);
     }
 
-    /** Returns the response body. Reads fail if the response is truncated. */
-    InputStream responseBody() {
-        return listener.getInputStream();
+    /** Returns the body of a response. Reads fail if the response is truncated. */
+    TargetResponseBody responseBody(Response response) {
+        return new TargetResponseBody(response, listener.getInputStream());
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -25,6 +25,12 @@
             .help("Tries at targets by result.")
             .labelNames("result")
             .register(registry);
+    private final Counter responseEnds = Counter.builder()
+            .name("bluebellshunt_relay_response_ends_total")
+            .help(
+                    "Responses of targets that ended without an error, by framing and by whether they ended inside an event.")
+            .labelNames("framing", "inside_event")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("bluebellshunt_relay_first_byte_seconds")
             .help("Time from the arrival of a request to the first byte of its answer.")
@@ -60,6 +66,16 @@
         attempts.labelValues(result).inc();
     }
 
+    /**
+     * Counts a response of a target that ended without an error.
+     *
+     * @param framing how its end is marked
+     * @param insideEvent whether it is an event stream that ended inside an event
+     */
+    public void responseEnd(String framing, boolean insideEvent) {
+        responseEnds.labelValues(framing, Boolean.toString(insideEvent)).inc();
+    }
+
     /**
      * Records the time to the first byte of a response.
      *
