--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -70,6 +70,7 @@
 
     private static final Duration MAX_CONFIGURATION_AGE = Duration.ofSeconds(4);
     private static final long WAIT_SECONDS = 20;
+    private static final String EVENT_STREAM = "content-type: text/event-stream;charset=utf-8\r\n";
 
     private final Closer closer = new Closer();
     private final ManualClock clock = new ManualClock();
@@ -161,6 +162,16 @@
         };
     }
 
+    /** Sends a response with neither a length nor chunks, and closes the connection in order. */
+    private static ScriptedResponse unframed(String headers, String body) {
+        return (request, response, callback) -> {
+            EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+            writeRaw(endPoint, "HTTP/1.1 200 OK\r\nt-seal: 1\r\nt-id: id-1\r\n" + headers + "\r\n" + body);
+            endPoint.close();
+            callback.failed(new IOException("the end of the connection is the end of the response"));
+        };
+    }
+
     private static void writeRaw(EndPoint endPoint, String text) throws Exception {
         Callback.Completable written = new Callback.Completable();
         endPoint.write(written, ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
@@ -413,6 +424,50 @@
         assertThat(receivedRequests, hasSize(1));
     }
 
+    /** Guards against a truncated stream that reaches its caller as complete, since it ends with its connection. */
+    @Test
+    void unframedStreamThatEndsInsideEventIsNotCompleted() throws Exception {
+        configure();
+        scriptedResponses.add(unframed(EVENT_STREAM, "id: 1\ndata: a\n\nid: 2\ndat"));
+        assertThrows(ExecutionException.class, () -> get("/stream/"));
+        assertThat(receivedRequests, hasSize(1));
+    }
+
+    @Test
+    void unframedStreamThatEndsAfterEventIsForwarded() throws Exception {
+        configure();
+        scriptedResponses.add(unframed(EVENT_STREAM, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        ContentResponse response = get("/stream/");
+        assertThat(response.getStatus(), equalTo(200));
+        assertThat(response.getContentAsString(), equalTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    }
+
+    /** Guards against an empty response to a caller whose target crashed between the headers and the first event. */
+    @Test
+    void unframedStreamWithoutEventIsFailureOfTarget() throws Exception {
+        configure();
+        scriptedResponses.add(unframed(EVENT_STREAM, ""));
+        assertThat(get("/stream/").getStatus(), equalTo(502));
+    }
+
+    /** Guards against a stream that an intermediary between relay and target has truncated and framed as complete. */
+    @Test
+    void framedStreamThatEndsInsideEventIsNotCompleted() throws Exception {
+        configure();
+        String body = "id: 1\ndata: a\n\nid: 2\ndat";
+        scriptedResponses.add(unframed(EVENT_STREAM + "content-length: " + body.length() + "\r\n", body));
+        assertThrows(ExecutionException.class, () -> get("/stream/"));
+    }
+
+    /** Guards against a truncated event stream on a route whose responses are buffered. */
+    @Test
+    void bufferedStreamThatEndsInsideEventIsRetried() throws Exception {
+        configure();
+        scriptedResponses.add(unframed(EVENT_STREAM, "data: a\n\ndat"));
+        assertThat(get("/safe/").getContentAsString(), equalTo("default response"));
+        assertThat(receivedRequests, hasSize(2));
+    }
+
     @Test
     void callerDisconnectAbortsTargetRequest() throws Exception {
         configure();
