Break off a response whose event stream ends inside an event

What callers saw: a stream of a crashed target ended like a complete response (status 200, signature, short body). Cause: the end of the target's connection was taken for the end of its message. A response with neither a length nor chunks ends with its connection; HTTP calls it complete however short it is, and the relay gave it a proper end of its own. Why this works: ResponseBody, which all reading of a target's response goes through, reports an end only if the message may be complete. An event stream says where its events end, so one that ends inside an event is truncated, and so is one without framing that ends before its first event. Reading then fails like after a reset: the caller's response is broken off, or the request is answered with 502 or sent again where nothing has been forwarded; the target counts as crashed under the request. The length of an event stream is no longer forwarded, since otherwise the caller has the whole response before the relay has seen its end.

--- a/core/src/main/java/dev/bluebellshunt/core/stream/EventBoundaryTracker.java
+++ b/core/src/main/java/dev/bluebellshunt/core/stream/EventBoundaryTracker.java
@@ -7,6 +7,7 @@
  */
 public final class EventBoundaryTracker {
 
+    private boolean hasEvent;
     private boolean eventStarted;
     private boolean lineStarted;
     private boolean commentLine;
@@ -32,6 +33,7 @@
             return;
         }
         if (value == '\n' || value == '\r') {
+            hasEvent |= eventStarted && !lineStarted;
             eventStarted = lineStarted && (eventStarted || !commentLine);
             lineStarted = false;
             return;
@@ -42,6 +44,15 @@
         }
     }
 
+    /**
+     * Returns whether the bytes so far contain a whole event.
+     *
+     * @return true after the blank line that ends the first event
+     */
+    public boolean hasEvent() {
+        return hasEvent;
+    }
+
     /**
      * Returns whether the bytes so far end inside an event.
      *
--- a/core/src/test/java/dev/bluebellshunt/core/stream/EventBoundaryTrackerTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/stream/EventBoundaryTrackerTests.java
@@ -37,6 +37,23 @@
         }
     }
 
+    @Test
+    void onlyBlankLineAfterFieldCompletesEvent() {
+        assertThat(hasEvent(""), equalTo(false));
+        assertThat(hasEvent("\n\n"), equalTo(false));
+        assertThat(hasEvent(": ping\n\n"), equalTo(false));
+        assertThat(hasEvent("data: a\n"), equalTo(false));
+        assertThat(hasEvent("data: a\n\n"), equalTo(true));
+        assertThat(hasEvent("data: a\n\ndata: b"), equalTo(true));
+    }
+
+    private static boolean hasEvent(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        EventBoundaryTracker tracker = new EventBoundaryTracker();
+        tracker.append(bytes, 0, bytes.length);
+        return tracker.hasEvent();
+    }
+
     @Test
     void allLineEndsAreRecognised() {
         assertThat(isInsideEvent("data: a\r\n\r\n"), equalTo(false));
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
+import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.IOException;
 import java.io.InputStream;
@@ -424,7 +425,7 @@
     private boolean forwardResponse(
             LiveTarget target, RelayRoute route, TargetExchange exchange, org.eclipse.jetty.client.Response response)
             throws IOException {
-        TargetResponseBody body = exchange.responseBody(response);
+        ResponseBody body = exchange.responseBody(response);
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         byte[] firstBytes;
         try {
@@ -435,7 +436,7 @@
             handleBodyFailure(target, exchange, e);
             return false;
         }
-        beginResponse(response);
+        beginResponse(response, body.isEventStream());
         if (firstBytes.length < MAX_BUFFERED_RESPONSE_BYTES && route.kind() != RouteKind.STREAM) {
             writer.setLastChunk(firstBytes);
         } else {
@@ -447,9 +448,9 @@
         return true;
     }
 
-    private void recordResponseEnd(TargetResponseBody body) {
-        context.metrics().responseEnd(body.framing().label(), body.isInsideEvent());
-        if (body.framing() != ResponseFraming.CONNECTION_CLOSE && !body.isInsideEvent()) {
+    private void recordResponseEnd(ResponseBody body) {
+        context.metrics().responseEnd(body.framing().label());
+        if (body.framing() != ResponseFraming.CONNECTION_CLOSE) {
             return;
         }
         context.decisionLog()
@@ -460,12 +461,8 @@
                         lastTarget,
                         "target_born_ms",
                         lastTargetBornMillis,
-                        "framing",
-                        body.framing().label(),
                         "bytes",
                         body.size(),
-                        "inside_event",
-                        body.isInsideEvent(),
                         "ms",
                         elapsedMillis());
     }
@@ -491,7 +488,7 @@
         }
     }
 
-    private void beginResponse(org.eclipse.jetty.client.Response response) {
+    private void beginResponse(org.eclipse.jetty.client.Response response, boolean eventStream) {
         int status = response.getStatus();
         if (NOT_EXECUTED_STATUSES.contains(status)) {
             throw new ShuntException(
@@ -501,7 +498,7 @@
                     Outcome.UNKNOWN,
                     "The target responded with status " + status + " but may have run the request.");
         }
-        writer.copyHead(response);
+        writer.copyHead(response, eventStream);
         if (context.drainState().isDraining()) {
             writer.closeConnection();
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
@@ -18,9 +18,13 @@
         this.response = response;
     }
 
-    /** Copies the status and the end-to-end headers of the target's response. */
-    void copyHead(org.eclipse.jetty.client.Response targetResponse) {
-        HttpFields.Mutable headers = EndToEndHeaders.copy(targetResponse.getHeaders(), name -> false);
+    /**
+     * Copies the status and the end-to-end headers of the target's response. The length of an event stream is left out,
+     * since whether the stream is complete is known only after its last byte.
+     */
+    void copyHead(org.eclipse.jetty.client.Response targetResponse, boolean eventStream) {
+        HttpFields.Mutable headers = EndToEndHeaders.copy(
+                targetResponse.getHeaders(), name -> eventStream && HttpHeader.CONTENT_LENGTH.is(name));
         response.setStatus(targetResponse.getStatus());
         headers.forEach(field -> response.getHeaders().add(field));
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -2,6 +2,7 @@
 
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.transport.HardTimeout;
+import dev.bluebellshunt.transport.ResponseBody;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
@@ -88,8 +89,8 @@
     }
 
     /** Returns the body of a response. Reads fail if the response is truncated. */
-    TargetResponseBody responseBody(Response response) {
-        return new TargetResponseBody(response, listener.getInputStream());
+    ResponseBody responseBody(Response response) {
+        return new ResponseBody(response, listener.getInputStream());
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -27,9 +27,8 @@
             .register(registry);
     private final Counter responseEnds = Counter.builder()
             .name("bluebellshunt_relay_response_ends_total")
-            .help(
-                    "Responses of targets that ended without an error, by framing and by whether they ended inside an event.")
-            .labelNames("framing", "inside_event")
+            .help("Complete responses of targets by framing.")
+            .labelNames("framing")
             .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("bluebellshunt_relay_first_byte_seconds")
@@ -67,13 +66,12 @@
     }
 
     /**
-     * Counts a response of a target that ended without an error.
+     * Counts a complete response of a target.
      *
      * @param framing how its end is marked
-     * @param insideEvent whether it is an event stream that ended inside an event
      */
-    public void responseEnd(String framing, boolean insideEvent) {
-        responseEnds.labelValues(framing, Boolean.toString(insideEvent)).inc();
+    public void responseEnd(String framing) {
+        responseEnds.labelValues(framing).inc();
     }
 
     /**
