--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -468,6 +468,19 @@
         assertThat(receivedRequests, hasSize(2));
     }
 
+    /** Guards against a broken stream that looks complete to a caller which asked to close the connection after it. */
+    @Test
+    void brokenStreamOnConnectionToBeClosedIsNotCompleted() throws Exception {
+        configure();
+        scriptedResponses.add(closeMidResponse());
+        assertThrows(
+                ExecutionException.class,
+                () -> request("/stream/")
+                        .headers(headers -> headers.put("connection", "close"))
+                        .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                        .send());
+    }
+
     @Test
     void callerDisconnectAbortsTargetRequest() throws Exception {
         configure();
