Break off streams visibly on connections that are closed after the response

What callers could have seen: a stream that its target broke off, with the proper end of its connection, so that it looked complete. It concerned callers that send Connection: close, and all callers while a VM shuts down. Nobody has reported it. Cause: Jetty sends a response without a length in chunks only if the connection is kept. Otherwise the end of the connection is the end of the response, and the relay closed it in order on a failure too. Why this works: the relay asks for chunks in all streamed responses without a length, so that only the empty chunk ends them. HTTP/1.0 has no chunks; there a failure resets the connection. brokenStreamToCallerOfHttp10IsReset fails without the reset.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -537,6 +537,7 @@
     private void copyStream(
             byte[] firstBytes, InputStream body, byte[] buffer, LiveTarget target, TargetExchange copied)
             throws IOException {
+        writer.beginStream();
         writer.write(ByteBuffer.wrap(firstBytes));
         while (true) {
             int read;
@@ -579,6 +580,11 @@
         writer.complete(callback);
     }
 
+    /** Ends a response that cannot be completed. */
+    void abortResponse(Callback callback, Throwable cause) {
+        writer.abort(callback, cause);
+    }
+
     private long elapsedMillis() {
         return TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - receivedNanos);
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -82,7 +82,7 @@
         } catch (IOException e) {
             call.setResult(call.isCallerDisconnected() ? "caller_gone" : "broken");
             watcher.deregister();
-            callback.failed(e);
+            call.abortResponse(callback, e);
         } catch (RuntimeException e) {
             log.error("Unexpected exception while handling a request", e);
             ShuntException internalError = new ShuntException(
@@ -120,7 +120,7 @@
     private static void complete(RelayCall call, CallerDisconnectWatcher watcher, Callback callback) {
         watcher.deregister();
         if (watcher.hasReadEarlyData()) {
-            callback.failed(new IOException("the caller sent data before the response was complete"));
+            call.abortResponse(callback, new IOException("the caller sent data before the response was complete"));
             return;
         }
         call.completeResponse(callback);
@@ -135,7 +135,7 @@
         call.setResult(error.code().wireName());
         watcher.deregister();
         if (response.isCommitted()) {
-            callback.failed(error);
+            call.abortResponse(callback, error);
             return;
         }
         response.reset();
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -39,6 +39,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -481,6 +482,33 @@
                         .send());
     }
 
+    /** Guards against a broken stream that looks complete to a caller of HTTP/1.0, which knows no chunks. */
+    @Test
+    void brokenStreamToCallerOfHttp10IsReset() throws Exception {
+        configure();
+        scriptedResponses.add(closeMidResponse());
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            caller.getOutputStream()
+                    .write("GET /stream/ HTTP/1.0\r\nHost: h.example\r\nt-id: id-1\r\nauthorization: secret\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            assertThrows(SocketException.class, () -> caller.getInputStream().readAllBytes());
+        }
+    }
+
+    @Test
+    void streamOnConnectionToBeClosedIsForwarded() throws Exception {
+        configure();
+        scriptedResponses.add(unframed(EVENT_STREAM, "data: a\n\n"));
+        ContentResponse response = request("/stream/")
+                .headers(headers -> headers.put("connection", "close"))
+                .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .send();
+        assertThat(response.getContentAsString(), equalTo("data: a\n\n"));
+        assertThat(response.getHeaders().get("transfer-encoding"), equalTo("chunked"));
+        assertThat(response.getHeaders().get("connection"), equalTo("close"));
+    }
+
     @Test
     void callerDisconnectAbortsTargetRequest() throws Exception {
         configure();
