Take no truncated response without framing for complete in the router, JSON included

What callers could have seen: the start of a JSON response as a complete one. The router stores the result of a request that may run once, so a repetition would have got the same half. Nobody has reported it. Cause: the same class as in the relay. The router's client, too, took the end of the connection for the end of the response. Streamed completions were safe, since they need their end marker. Evidence: JettyTargetClientTests#unframedResponseThatEndsInsideItsContentIsIncomplete failed before in both cases (JSON, event stream) and passes now. Why this works: the router reads responses through ResponseBody as the relay does. Without a length or chunks, JSON that ends inside its document is truncated as well; a text that is not JSON says nothing and ends as its connection does.

--- a/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
@@ -7,6 +7,7 @@
 import dev.bluebellshunt.core.target.TargetView;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.transport.HardTimeout;
+import dev.bluebellshunt.transport.ResponseBody;
 import java.io.InputStream;
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
@@ -60,7 +61,8 @@
         jettyRequest.send(listener);
         try {
             Response response = listener.get(timeoutMillis, TimeUnit.MILLISECONDS);
-            return new JettyTargetResponse(jettyRequest, response, listener.getInputStream());
+            return new JettyTargetResponse(
+                    jettyRequest, response, new ResponseBody(response, listener.getInputStream()));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             abort(jettyRequest, e);
--- /dev/null
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
@@ -0,0 +1,90 @@
+package dev.bluebellshunt.router.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.model.TargetKind;
+import dev.bluebellshunt.core.model.TargetSpec;
+import dev.bluebellshunt.core.target.TargetRuntimeState;
+import dev.bluebellshunt.core.target.TargetState;
+import dev.bluebellshunt.core.target.TargetView;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.transport.HttpClients;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Set;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class JettyTargetClientTests {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    private final Closer closer = new Closer();
+    private final HttpClient http = HttpClients.start("test", closer);
+    private final JettyTargetClient client = new JettyTargetClient(http, http, MonotonicClock.system());
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    private String send(String contentType, String body) throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread server = Thread.ofVirtual().start(() -> serve(listener, contentType, body));
+            TargetSpec spec = new TargetSpec(
+                    "target",
+                    TargetKind.APPLICATION,
+                    "127.0.0.1",
+                    listener.getLocalPort(),
+                    "d",
+                    Set.of(),
+                    false,
+                    false);
+            TargetView target = new TargetView(spec, TargetState.LIVE, "i1", new TargetRuntimeState());
+            TargetRequest request = new TargetRequest(
+                    "POST", "/", HttpFields.EMPTY, new byte[0], true, Deadline.after(MonotonicClock.system(), TIMEOUT));
+            try (TargetResponse response = client.send(target, request)) {
+                return new String(response.body().readAllBytes(), StandardCharsets.UTF_8);
+            } finally {
+                server.join();
+            }
+        }
+    }
+
+    /** Sends a response with neither a length nor chunks, and closes the connection in order. */
+    private static void serve(ServerSocket listener, String contentType, String body) {
+        try (Socket socket = listener.accept()) {
+            byte[] request = new byte[4_096];
+            if (socket.getInputStream().read(request) > 0) {
+                String response = "HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n\r\n" + body;
+                socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("the test server failed", e);
+        }
+    }
+
+    /** Guards against a truncated response that is stored and repeated as the result of a request. */
+    @ParameterizedTest
+    @CsvSource({"application/json, '{\"notice\": 17, \"st'", "text/event-stream, 'data: a'"})
+    void unframedResponseThatEndsInsideItsContentIsIncomplete(String contentType, String body) {
+        assertThrows(IOException.class, () -> send(contentType, body));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"application/json, '{\"notice\": 17}'", "text/plain, 'half a'"})
+    void otherUnframedResponseIsComplete(String contentType, String body) throws Exception {
+        assertThat(send(contentType, body), equalTo(body));
+    }
+}
--- a/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
@@ -1,30 +1,31 @@
 package dev.bluebellshunt.transport;
 
+import dev.bluebellshunt.core.codec.JsonEndTracker;
 import dev.bluebellshunt.core.stream.EventBoundaryTracker;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.Locale;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The body of a response. Its end is reported only if the body may be complete, otherwise reading fails.
  *
  * <p>HTTP takes a response with neither a length nor chunks to be complete when its connection is closed, even by a server
- * that crashes. An event stream says more: one that ends inside an event is truncated, however it is framed, and so
- * is one that its connection ends before the first event.
+ * that crashes. Some content says more: an event stream that ends inside an event is truncated, however it is framed.
+ * So is, without a length or chunks, an event stream that ends before its first event, and JSON that ends inside its document.
  *
  * <p>Not thread-safe.
  */
 public final class ResponseBody extends InputStream {
 
-    private static final String EVENT_STREAM = "text/event-stream";
-
     private final InputStream input;
     private final ResponseFraming framing;
-    private final boolean eventStream;
-    private final EventBoundaryTracker events = new EventBoundaryTracker();
+    private final Content content;
     private long size;
 
     /**
@@ -36,14 +37,7 @@
     public ResponseBody(Response response, InputStream input) {
         this.input = input;
         this.framing = ResponseFraming.of(response);
-        this.eventStream = isUnencodedEventStream(response);
-    }
-
-    private static boolean isUnencodedEventStream(Response response) {
-        String contentType = response.getHeaders().get(HttpHeader.CONTENT_TYPE);
-        return contentType != null
-                && EVENT_STREAM.equalsIgnoreCase(HttpField.stripParameters(contentType))
-                && !response.getHeaders().contains(HttpHeader.CONTENT_ENCODING);
+        this.content = Content.of(response.getHeaders());
     }
 
     /**
@@ -61,7 +55,7 @@
      * @return true if the content type of the response says so, and the body is not encoded
      */
     public boolean isEventStream() {
-        return eventStream;
+        return content instanceof Content.EventStream;
     }
 
     /**
@@ -83,35 +77,59 @@
     public int read(byte[] bytes, int offset, int length) throws IOException {
         int read = input.read(bytes, offset, length);
         if (read < 0) {
-            checkComplete();
+            String problem = findTruncation();
+            if (problem != null) {
+                throw new EOFException("the " + problem + " (framing " + framing.label() + ", " + size + " bytes)");
+            }
             return read;
         }
         size += read;
-        if (eventStream) {
-            events.append(bytes, offset, read);
+        switch (content) {
+            case Content.EventStream(EventBoundaryTracker events) -> events.append(bytes, offset, read);
+            case Content.Json(JsonEndTracker document) -> document.append(bytes, offset, read);
+            case Content.Opaque() -> {}
         }
         return read;
     }
 
-    private void checkComplete() throws EOFException {
-        if (!eventStream) {
-            return;
-        }
-        if (events.isInsideEvent()) {
-            throw truncated("ended inside an event");
-        }
-        if (framing == ResponseFraming.CONNECTION_CLOSE && !events.hasEvent()) {
-            throw truncated("ended before its first event");
-        }
-    }
-
-    private EOFException truncated(String problem) {
-        return new EOFException(
-                "the event stream " + problem + " (framing " + framing.label() + ", " + size + " bytes)");
+    private @Nullable String findTruncation() {
+        boolean unframed = framing == ResponseFraming.CONNECTION_CLOSE;
+        return switch (content) {
+            case Content.EventStream(EventBoundaryTracker events)
+            when events.isInsideEvent() -> "event stream ended inside an event";
+            case Content.EventStream(EventBoundaryTracker events)
+            when unframed && !events.hasEvent() -> "event stream ended before its first event";
+            case Content.Json(JsonEndTracker document)
+            when unframed && document.isTruncatedAtEnd() -> "JSON ended inside its document";
+            default -> null;
+        };
     }
 
     @Override
     public void close() throws IOException {
         input.close();
     }
+
+    /** What is known of the content of a body. */
+    private sealed interface Content {
+
+        record EventStream(EventBoundaryTracker events) implements Content {}
+
+        record Json(JsonEndTracker document) implements Content {}
+
+        /** Content that does not show whether it is complete. */
+        record Opaque() implements Content {}
+
+        static Content of(HttpFields headers) {
+            String contentType = headers.get(HttpHeader.CONTENT_TYPE);
+            if (contentType == null || headers.contains(HttpHeader.CONTENT_ENCODING)) {
+                return new Opaque();
+            }
+            return switch (HttpField.stripParameters(contentType).toLowerCase(Locale.ROOT)) {
+                case "text/event-stream" -> new EventStream(new EventBoundaryTracker());
+                case "application/json" -> new Json(new JsonEndTracker());
+                default -> new Opaque();
+            };
+        }
+    }
 }
--- a/transport/src/test/java/dev/bluebellshunt/transport/ResponseBodyTests.java
+++ b/transport/src/test/java/dev/bluebellshunt/transport/ResponseBodyTests.java
@@ -94,6 +94,16 @@
         assertThrows(IOException.class, () -> read("Transfer-Encoding: chunked\r\n", "4\r\nhalf\r\n"));
     }
 
+    @Test
+    void unframedJsonMustNotEndInsideDocument() throws Exception {
+        String json = "Content-Type: application/json\r\n";
+        assertThat(read(json, "{\"a\":1}"), equalTo("{\"a\":1}"));
+        assertThat(read(json + "Content-Length: 4\r\n", "{\"a\""), equalTo("{\"a\""));
+        assertThat("no JSON at all", read(json, "fine"), equalTo("fine"));
+        assertTruncated(json, "{\"a\":", "JSON ended inside its document (framing connection_close, 5 bytes)");
+        assertTruncated(json, "", "JSON ended inside its document");
+    }
+
     @Test
     void boundariesOfEncodedEventStreamAreNotRead() throws Exception {
         assertThat(read(EVENT_STREAM + "Content-Encoding: x\r\n", "encoded"), equalTo("encoded"));
