Keep texts of exceptions out of responses to callers

What callers saw: the 502 for a failed target held the text of the client library's exception, up to a kilobyte with class names, addresses and ports of VM and target, and buffer states. A request that the relay's server rejected by itself got an HTML page of the library, which for failures has the stack trace. Cause: the reason of the last attempt, which is meant for the log line, was part of the message; the relay did not use the router's error handler. Evidence: RelayHandlerTests#errorResponsesShowNoInternals makes each error code of the relay, and failed before at the first target_failed. RelayDaemonTests#requestThatServerRejectsGetsErrorInJson; RouterDaemonTests checks all its error responses, which were clean before. A failure after the request reached a handler no longer claims that the request was not run.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -32,6 +32,7 @@
 import dev.bluebellshunt.relay.weights.RolloutSystem;
 import dev.bluebellshunt.transport.DrainState;
 import dev.bluebellshunt.transport.HttpServers;
+import dev.bluebellshunt.transport.JsonErrorHandler;
 import dev.bluebellshunt.transport.JsonHttpClient;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -45,7 +46,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -213,7 +213,7 @@
     }
 
     private ServerConnector listen(String name, InetSocketAddress address, HttpConfiguration http, Handler handler) {
-        return HttpServers.start(name, address, http, handler, new ErrorHandler(), closer);
+        return HttpServers.start(name, address, http, handler, new JsonErrorHandler(), closer);
     }
 
     /** Returns the actual port for callers, which differs from the setting if that is zero. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -172,8 +172,7 @@
                     ? rejectedAttempts < MAX_REJECTED_ATTEMPTS
                     : route.isRetryable() && possiblyExecutedAttempts < route.maxAttempts();
             if (!mayRetry) {
-                throw noResponse(
-                        ErrorCode.TARGET_FAILED, "The target " + lastTarget + " failed: " + lastFailureReason + ".");
+                throw noResponse(ErrorCode.TARGET_FAILED, "The target " + lastTarget + " sent no usable response.");
             }
         }
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -1,8 +1,10 @@
 package dev.bluebellshunt.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.startsWith;
 
 import dev.bluebellshunt.core.close.Closer;
 import dev.bluebellshunt.core.error.Step;
@@ -210,6 +212,20 @@
         assertThat(isReady(second), equalTo(true));
     }
 
+    /** Guards against pages of the server library, which show class names and stack traces. */
+    @Test
+    void requestThatServerRejectsGetsErrorInJson() throws Exception {
+        RelayDaemon daemon = start();
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), daemon.callersPort())) {
+            caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            caller.getOutputStream().write("GET /open/x HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String response = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(response, startsWith("HTTP/1.1 400 "));
+            assertThat(response, containsString("\"code\":\"malformed_request\""));
+            assertThat(response, containsString("\"message\":\"The request was rejected with status 400.\""));
+        }
+    }
+
     @Test
     void drainFinishesOpenRequestsAndRejectsNewOnes() throws Exception {
         RelayDaemon daemon = start();
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -5,11 +5,14 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.matchesRegex;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
@@ -35,6 +38,7 @@
 import dev.bluebellshunt.transport.DrainState;
 import dev.bluebellshunt.transport.HttpClients;
 import dev.bluebellshunt.transport.HttpServers;
+import dev.bluebellshunt.transport.JsonErrorHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -46,12 +50,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
@@ -62,6 +68,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -71,6 +78,12 @@
 
     private static final Duration MAX_CONFIGURATION_AGE = Duration.ofSeconds(4);
     private static final long WAIT_SECONDS = 20;
+
+    /** Class names, names of exceptions, identity hash codes, addresses and ports. */
+    private static final Pattern INTERNALS = Pattern.compile(
+            ".*(\\b(org|java|dev)\\.\\w|jetty|Exception|@[0-9a-f]{4}|127\\.0\\.0\\.1|:\\d{4,5}\\b).*",
+            Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
+
     private static final String EVENT_STREAM = "content-type: text/event-stream;charset=utf-8\r\n";
 
     private final Closer closer = new Closer();
@@ -85,6 +98,7 @@
     private final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
     private final HttpClient httpClient = HttpClients.start("test", closer);
     private final List<Integer> targetPorts = new ArrayList<>();
+    private @Nullable RelayHandler handler;
     private int port;
 
     private record ReceivedRequest(String method, String path, HttpFields headers, String body) {}
@@ -173,6 +187,11 @@
         };
     }
 
+    private static ScriptedResponse endlessBody() {
+        String head = "HTTP/1.1 200 OK\r\nt-seal: 1\r\nt-id: id-1\r\ntransfer-encoding: chunked\r\n\r\n";
+        return endless(head + "1;", "extension");
+    }
+
     private static void writeRaw(EndPoint endPoint, String text) throws Exception {
         Callback.Completable written = new Callback.Completable();
         endPoint.write(written, ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
@@ -212,12 +231,13 @@
                 clock,
                 MAX_CONFIGURATION_AGE,
                 Duration.ofSeconds(6));
+        handler = new RelayHandler(context);
         port = HttpServers.start(
                         "relay",
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                         RelayHandler.httpConfiguration(),
-                        new RelayHandler(context),
-                        new ErrorHandler(),
+                        handler,
+                        new JsonErrorHandler(),
                         closer)
                 .getLocalPort();
     }
@@ -263,8 +283,9 @@
                 Map.of("apps", new PoolSpec("apps", 0, null)),
                 Map.of(
                         "w", new RelayWorkspace("w", 0, false, false, 1, 0, 0),
-                        "w2", new RelayWorkspace("w2", 0, false, false, 1, 0, 0)),
-                Map.of("secret", "w", "other-secret", "w2"),
+                        "w2", new RelayWorkspace("w2", 0, false, false, 1, 0, 0),
+                        "limited", new RelayWorkspace("limited", 0, false, false, 1, 1, 1)),
+                Map.of("secret", "w", "other-secret", "w2", "limited-secret", "limited"),
                 List.of(),
                 CallerLimits.DEFAULT);
         store.publish(new OperatorState(0, configuration, Map.of()));
@@ -417,6 +438,87 @@
         assertThat(response.getContentAsString(), equalTo("target error"));
     }
 
+    /** Guards against responses that show callers class names, addresses or other text of exceptions. */
+    @Test
+    void errorResponsesShowNoInternals() throws Exception {
+        assertError(ErrorCode.NOT_CONFIGURED, request("/safe/"));
+        configure();
+        assertError(ErrorCode.UNKNOWN_ROUTE, request("/elsewhere/"));
+        assertError(ErrorCode.MISSING_KEY, request("/safe/").headers(headers -> headers.remove("authorization")));
+        assertError(
+                ErrorCode.INVALID_KEY, request("/safe/").headers(headers -> headers.put("authorization", "stolen")));
+        assertError(ErrorCode.MALFORMED_REQUEST, request("/safe/").headers(headers -> headers.remove("t-id")));
+        assertIsError(ErrorCode.BODY_TOO_LARGE, 413, sendHeadOfLargeRequest());
+        assertError(ErrorCode.INTERNAL, request("/safe/").headers(headers -> headers.put("t-timeout", "no number")));
+        limitedRequest().timeout(WAIT_SECONDS, TimeUnit.SECONDS).send();
+        assertError(ErrorCode.RATE_LIMITED, limitedRequest());
+        rejectNextRequest(2);
+        assertError(ErrorCode.NO_TARGET, request("/once/"));
+        targetPorts.add(targetPorts.getFirst());
+        registerTargets(1);
+        clock.advance(Duration.ofSeconds(1));
+        rejectNextRequest(3);
+        assertError(ErrorCode.OVERLOADED, request("/once/"));
+        clock.advance(Duration.ofSeconds(1));
+        int failures = 0;
+        for (ScriptedResponse failure : List.of(
+                closeWithoutResponse(),
+                endless("", "garbage "),
+                status(200, "", "unsigned response"),
+                status(503, "t-seal", ""),
+                unframed("content-length: 100\r\n", "short"),
+                unframed(EVENT_STREAM, "data: a"))) {
+            scriptedResponses.add(failure);
+            assertError(ErrorCode.TARGET_FAILED, request("/once/" + failures++));
+            registerTargets(1);
+        }
+        scriptedResponses.add(endlessBody());
+        assertError(ErrorCode.DEADLINE_EXCEEDED, request("/once/").headers(headers -> headers.put("t-timeout", "300")));
+        for (int repetition = 1; repetition <= 3; repetition++) {
+            scriptedResponses.add(closeWithoutResponse());
+            get("/once/deadly");
+            registerTargets(1 + repetition);
+        }
+        assertError(ErrorCode.TARGETS_CRASHED, request("/once/deadly"));
+        clock.advance(MAX_CONFIGURATION_AGE);
+        assertError(ErrorCode.CONFIGURATION_STALE, request("/safe/"));
+        Objects.requireNonNull(handler).rejectNewRequests();
+        assertError(ErrorCode.DRAINING, request("/safe/"));
+    }
+
+    private org.eclipse.jetty.client.Request limitedRequest() {
+        return request("/safe/").headers(headers -> headers.put("authorization", "limited-secret"));
+    }
+
+    private void rejectNextRequest(int targets) {
+        for (int i = 0; i < targets; i++) {
+            scriptedResponses.add(status(503, "t-not-run", ""));
+        }
+    }
+
+    private static void assertError(ErrorCode code, org.eclipse.jetty.client.Request request) throws Exception {
+        ContentResponse response =
+                request.timeout(WAIT_SECONDS, TimeUnit.SECONDS).send();
+        assertIsError(code, response.getStatus(), response.getContentAsString());
+    }
+
+    private static void assertIsError(ErrorCode code, int status, String body) {
+        assertThat(body, status, equalTo(code.status()));
+        assertThat(body, containsString("\"code\":\"" + code.wireName() + "\""));
+        assertThat(body, not(matchesRegex(INTERNALS)));
+    }
+
+    private String sendHeadOfLargeRequest() throws IOException {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            String head =
+                    "POST /once/ HTTP/1.1\r\nHost: h.example\r\nt-id: id-1\r\nauthorization: secret\r\nContent-Length: "
+                            + (CallerLimits.DEFAULT.maxBodyBytes() + 1) + "\r\n\r\n";
+            caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     @Test
     void brokenStreamIsNotCompleted() throws Exception {
         configure();
@@ -644,8 +746,7 @@
     @Test
     void responseBodyWithoutEndIsAbortedAtDeadline() throws Exception {
         configure();
-        String head = "HTTP/1.1 200 OK\r\nt-seal: 1\r\nt-id: id-1\r\ntransfer-encoding: chunked\r\n\r\n";
-        scriptedResponses.add(endless(head + "1;", "extension"));
+        scriptedResponses.add(endlessBody());
         org.eclipse.jetty.client.Request request =
                 request("/once/").headers(headers -> headers.put("t-timeout", "300"));
         assertThat(request.timeout(WAIT_SECONDS, TimeUnit.SECONDS).send().getStatus(), equalTo(504));
--- a/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
+++ b/router/src/main/java/dev/bluebellshunt/router/RouterDaemon.java
@@ -41,6 +41,7 @@
 import dev.bluebellshunt.transport.HttpKeyValueStore;
 import dev.bluebellshunt.transport.HttpServers;
 import dev.bluebellshunt.transport.HttpVmList;
+import dev.bluebellshunt.transport.JsonErrorHandler;
 import dev.bluebellshunt.transport.JsonHttpClient;
 import java.net.InetSocketAddress;
 import java.time.Duration;
--- a/router/src/test/java/dev/bluebellshunt/router/RouterDaemonTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/RouterDaemonTests.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.matchesRegex;
 import static org.hamcrest.Matchers.not;
 
 import ch.qos.logback.classic.Level;
@@ -41,6 +42,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
@@ -63,6 +65,10 @@
 
     private static final String HOST = "127.0.0.1";
 
+    private static final Pattern INTERNALS = Pattern.compile(
+            ".*(\\b(org|java|dev|com)\\.\\w|jetty|Exception|@[0-9a-f]{4}|127\\.0\\.0\\.1|:\\d{4,5}\\b).*",
+            Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
+
     private final SecureRandom random = new SecureRandom();
     private final Closer closer = new Closer();
     private final ApiKey apiKey = ApiKey.generate(random);
@@ -141,12 +147,17 @@
         return "http://" + HOST + ":" + router.adminPort() + path;
     }
 
+    /** Sends a request, and checks that an error shows the caller no class names, addresses or text of exceptions. */
     private ContentResponse send(String method, String path, String credential, String body) throws Exception {
-        return http.newRequest("http://" + HOST + ":" + router.callerPort() + path)
+        ContentResponse response = http.newRequest("http://" + HOST + ":" + router.callerPort() + path)
                 .method(method)
                 .headers(headers -> headers.put("authorization", "Bearer " + credential))
                 .body(new StringRequestContent("application/json", body, StandardCharsets.UTF_8))
                 .send();
+        if (response.getStatus() >= 400) {
+            assertThat(response.getContentAsString(), not(matchesRegex(INTERNALS)));
+        }
+        return response;
     }
 
     @Test
--- a/router/src/main/java/dev/bluebellshunt/router/JsonErrorHandler.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonErrorHandler.java
@@ -1,7 +1,8 @@
-package dev.bluebellshunt.router;
+package dev.bluebellshunt.transport;
 
 import dev.bluebellshunt.core.error.ErrorBody;
 import dev.bluebellshunt.core.error.ErrorCode;
+import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
 import java.nio.ByteBuffer;
@@ -13,8 +14,14 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
-/** Writes a JSON error body for requests that Jetty rejects before any handler runs, such as oversized headers. */
-final class JsonErrorHandler extends ErrorHandler {
+/**
+ * Writes a JSON error body for requests that Jetty rejects before any handler runs, such as oversized headers, and for
+ * those whose handler fails. The body contains no text of the exception.
+ */
+public final class JsonErrorHandler extends ErrorHandler {
+
+    /** Creates the handler. */
+    public JsonErrorHandler() {}
 
     @Override
     protected void generateResponse(
@@ -29,8 +36,9 @@
     }
 
     private static ShuntException toException(int status) {
-        ErrorCode code =
-                status < HttpStatus.INTERNAL_SERVER_ERROR_500 ? ErrorCode.MALFORMED_REQUEST : ErrorCode.INTERNAL;
-        return ShuntException.notRun(code, Step.PARSE, "The request was rejected with status " + status + ".");
+        String message = "The request was rejected with status " + status + ".";
+        return status < HttpStatus.INTERNAL_SERVER_ERROR_500
+                ? ShuntException.notRun(ErrorCode.MALFORMED_REQUEST, Step.PARSE, message)
+                : new ShuntException(ErrorCode.INTERNAL, Step.FORWARD, "self", Outcome.UNKNOWN, message);
     }
 }
