Test the quarantine through two whole processes and a restart of all

The test starts two RelayDaemons on loopback with one store; a request crashes three targets through the first, the second rejects it, and so does a VM that starts after both have stopped. A VM now registers the actual port of its internal server, which differs from the setting if that is zero; FakeSharedStore can be shared by several control threads and counts reads.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -156,6 +156,12 @@
                 new JitteredTimer(clock, random, TARGET_INTERVAL)));
         control.add(new QuarantineSystem(
                 store, crashSuspects, control, new JitteredTimer(clock, random, QUARANTINE_INTERVAL)));
+        // The port of the setting may be zero, and the other VMs need the actual one.
+        ServerConnector internal = listen(
+                "internal",
+                settings.internal(),
+                HttpServers.newConfiguration(),
+                new InternalHandler(peerReports, engineCacheIndex, directory, crashSuspects, context.metrics()));
         FleetSystem fleet = new FleetSystem(
                 store,
                 operators,
@@ -165,7 +171,7 @@
                 new JitteredTimer(clock, random, FLEET_INTERVAL),
                 settings.vm(),
                 settings.failureDomain(),
-                settings.internal().getHostString() + ":" + settings.internal().getPort());
+                settings.internal().getHostString() + ":" + internal.getLocalPort());
         control.add(fleet);
         RolloutSystem rollout = new RolloutSystem(
                 store,
@@ -204,11 +210,6 @@
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
         this.readiness = listen(
                 "readiness", settings.readiness(), HttpServers.newConfiguration(), new ReadinessHandler(this::isReady));
-        listen(
-                "internal",
-                settings.internal(),
-                HttpServers.newConfiguration(),
-                new InternalHandler(peerReports, engineCacheIndex, directory, crashSuspects, context.metrics()));
         log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
     }
 
@@ -226,6 +227,11 @@
         return readiness.getLocalPort();
     }
 
+    /** Returns the components of this process. */
+    RelayContext context() {
+        return context;
+    }
+
     private boolean isReady() {
         return !drain.isDraining()
                 && context.isConfigurationFresh()
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -23,6 +23,7 @@
 import dev.bluebellshunt.transport.HttpClients;
 import dev.bluebellshunt.transport.HttpServers;
 import dev.bluebellshunt.transport.JsonHttpClient;
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -35,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.ContentResponse;
@@ -56,13 +58,20 @@
     /** Limits the duration of a test that hangs. */
     private static final long WAIT_SECONDS = 20;
 
+    private static final String QUARANTINES = "bluebellshunt/quarantine/";
+
+    /** Reads of the quarantines by a VM that has started. */
+    private static final int STARTUP_READS = 3;
+
     private final Closer closer = new Closer();
     private final AtomicLong nanos = new AtomicLong(1);
     private final MonotonicClock clock = nanos::get;
     private final FakeSharedStore store = new FakeSharedStore(clock);
     private final HttpClient http = HttpClients.start("test", closer);
+    private final AtomicInteger deadlyRequests = new AtomicInteger();
     private final CountDownLatch slowRequestArrived = new CountDownLatch(1);
     private final CountDownLatch slowRequestMayFinish = new CountDownLatch(1);
+    private int targetPort;
 
     private final class StubTarget extends Handler.Abstract {
         @Override
@@ -71,6 +80,12 @@
                 slowRequestArrived.countDown();
                 slowRequestMayFinish.await(WAIT_SECONDS, TimeUnit.SECONDS);
             }
+            if (Request.getPathInContext(request).endsWith("deadly")) {
+                deadlyRequests.incrementAndGet();
+                request.getConnectionMetaData().getConnection().getEndPoint().close();
+                callback.failed(new IOException("the target has crashed"));
+                return true;
+            }
             response.getHeaders().put("t-seal", "1").put("t-id", "id-1");
             response.write(true, ByteBuffer.wrap("fine".getBytes(StandardCharsets.UTF_8)), callback);
             return true;
@@ -79,7 +94,7 @@
 
     @BeforeEach
     void publish() {
-        int port = HttpServers.start(
+        targetPort = HttpServers.start(
                         "target",
                         ANY_PORT,
                         HttpServers.newConfiguration(),
@@ -87,7 +102,7 @@
                         new ErrorHandler(),
                         closer)
                 .getLocalPort();
-        store.setTargets(List.of(new TargetEntry("t", 1, "apps", "127.0.0.1", port, "fd-1", 6, false, Map.of())));
+        registerTarget(1);
         RelayRoute route = new RelayRoute(
                 "r",
                 "h.example",
@@ -111,6 +126,12 @@
         store.publish(new OperatorState(0, configuration, Map.of()));
     }
 
+    /** Registers the target with a start time, as after a restart under the same id. */
+    private void registerTarget(long bornMillis) {
+        store.setTargets(
+                List.of(new TargetEntry("t", bornMillis, "apps", "127.0.0.1", targetPort, "fd-1", 6, false, Map.of())));
+    }
+
     @AfterEach
     void stop() {
         slowRequestMayFinish.countDown();
@@ -118,8 +139,12 @@
     }
 
     private RelayDaemon start() {
+        return start("vm-1");
+    }
+
+    private RelayDaemon start(String vm) {
         RelaySettings settings = new RelaySettings(
-                "vm-1",
+                vm,
                 "fd-1",
                 ANY_PORT,
                 ANY_PORT,
@@ -226,6 +251,71 @@
         }
     }
 
+    /** Advances the clock in step with the control threads until a condition holds. */
+    private void awaitInTime(RelayDaemon daemon, String what, BooleanSupplier condition) {
+        await(what, () -> {
+            nanos.addAndGet(Duration.ofMillis(2).toNanos());
+            isReady(daemon);
+            return condition.getAsBoolean();
+        });
+    }
+
+    private void awaitTarget(RelayDaemon daemon, long bornMillis) {
+        awaitInTime(
+                daemon,
+                "the VM knows the target",
+                () -> daemon.context().targetDirectory().snapshot().pool("apps").stream()
+                        .anyMatch(target -> target.entry().bornMillis() == bornMillis));
+    }
+
+    private void awaitCrashes(RelayDaemon daemon, int crashes) {
+        awaitInTime(
+                daemon,
+                "the VM knows of the crashes",
+                () -> daemon.context().crashSuspects().report().values().stream()
+                        .anyMatch(targets -> targets.size() == crashes));
+    }
+
+    private void assertRejectsDeadlyRequest(RelayDaemon daemon) {
+        ContentResponse response = send(request(daemon, "/open/deadly"));
+        assertThat(response.getStatus(), equalTo(503));
+        assertThat(response.getHeaders().get("Retry-After"), notNullValue());
+        assertThat(response.getContentAsString(), containsString("targets_crashed"));
+        assertThat("runs", deadlyRequests.get(), equalTo(3));
+    }
+
+    /**
+     * Guards against parts of the quarantine that are not connected: the reports between VMs, and the records in the
+     * store.
+     */
+    @Test
+    void requestThatCrashedThreeTargetsIsRejectedByOtherVmsAndAfterRestartOfAll() {
+        RelayDaemon first = start("vm-1");
+        RelayDaemon second = start("vm-2");
+        // After this, the second VM can learn of the crashes from the first one only.
+        awaitInTime(first, "both VMs have read the store", () -> store.recordReads(QUARANTINES) >= 2 * STARTUP_READS);
+        for (int crash = 1; crash <= 3; crash++) {
+            registerTarget(crash);
+            awaitTarget(first, crash);
+            assertThat(send(request(first, "/open/deadly")).getStatus(), equalTo(502));
+        }
+        assertRejectsDeadlyRequest(first);
+        awaitCrashes(second, 3);
+        assertRejectsDeadlyRequest(second);
+        awaitInTime(
+                first,
+                "the quarantine is stored",
+                () -> !store.readRecords(QUARANTINES).join().isEmpty());
+        first.close();
+        second.close();
+        registerTarget(4);
+        RelayDaemon restarted = start("vm-1");
+        awaitTarget(restarted, 4);
+        awaitCrashes(restarted, 3);
+        assertRejectsDeadlyRequest(restarted);
+        assertThat(get(restarted).getStatus(), equalTo(200));
+    }
+
     @Test
     void drainFinishesOpenRequestsAndRejectsNewOnes() throws Exception {
         RelayDaemon daemon = start();
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -17,7 +17,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
-/** In-memory store shared by the VMs of a test, which can simulate outages, lost responses and lost history. */
+/**
+ * In-memory store shared by the VMs of a test, which can simulate outages, lost responses and lost history. Thread-safe.
+ */
 public final class FakeSharedStore implements SharedStore {
 
     public enum Mode {
@@ -37,6 +39,7 @@
     private final MonotonicClock clock;
     private final Map<String, StoredRecord> records = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
+    private final Map<String, Integer> recordReads = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private OperatorState operators = new OperatorState(1, null, Map.of());
     private List<TargetEntry> targets = List.of();
@@ -56,7 +59,7 @@
         mode = next;
     }
 
-    public void discardHistory() {
+    public synchronized void discardHistory() {
         historyDiscarded = true;
         List<Watch> pending = List.copyOf(watches);
         watches.clear();
@@ -64,16 +67,16 @@
                 watch -> watch.response().completeExceptionally(new HistoryLostException(watch.afterRevision())));
     }
 
-    public int callCount() {
+    public synchronized int callCount() {
         return callCount;
     }
 
-    public void setTargets(List<TargetEntry> next) {
+    public synchronized void setTargets(List<TargetEntry> next) {
         targets = next;
     }
 
     /** Publishes a change and completes the pending watches with it. */
-    public void publish(OperatorState change) {
+    public synchronized void publish(OperatorState change) {
         revision++;
         Map<String, Long> weights = new HashMap<>(operators.weights());
         weights.putAll(change.weights());
@@ -86,7 +89,7 @@
     }
 
     /** Completes all pending watches without a change. */
-    public void completeWatches() {
+    public synchronized void completeWatches() {
         List<Watch> pending = List.copyOf(watches);
         watches.clear();
         pending.forEach(watch -> watch.response().complete(new OperatorState(revision, null, Map.of())));
@@ -101,7 +104,7 @@
     }
 
     @Override
-    public CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait) {
+    public synchronized CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait) {
         callCount++;
         if (mode == Mode.UNAVAILABLE) {
             return CompletableFuture.failedFuture(new IllegalStateException("the store is unavailable"));
@@ -125,8 +128,14 @@
         return read(() -> targets);
     }
 
+    /** Returns the number of reads of all records with a prefix. */
+    public synchronized int recordReads(String prefix) {
+        return recordReads.getOrDefault(prefix, 0);
+    }
+
     @Override
-    public CompletableFuture<List<SharedRecord>> readRecords(String prefix) {
+    public synchronized CompletableFuture<List<SharedRecord>> readRecords(String prefix) {
+        recordReads.merge(prefix, 1, Integer::sum);
         return read(() -> records.entrySet().stream()
                 .filter(entry -> entry.getKey().startsWith(prefix))
                 .map(entry -> new SharedRecord(
@@ -205,7 +214,7 @@
         return call(operation, true);
     }
 
-    private <T> CompletableFuture<T> call(Supplier<T> operation, boolean writes) {
+    private synchronized <T> CompletableFuture<T> call(Supplier<T> operation, boolean writes) {
         callCount++;
         expireLeases();
         if (mode == Mode.UNRESPONSIVE) {
