--- a/core/src/main/java/dev/bluebellshunt/core/codec/JsonEndTracker.java
+++ b/core/src/main/java/dev/bluebellshunt/core/codec/JsonEndTracker.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.core.io.JsonEOFException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Tracks whether a JSON text that arrives in chunks ends before its document does.
@@ -14,10 +16,14 @@
  */
 public final class JsonEndTracker {
 
+    private static final Logger log = LoggerFactory.getLogger("codec");
+
     private final JsonParser parser;
     private final ByteArrayFeeder feeder;
     private boolean hasToken;
     private boolean malformed;
+    private boolean ended;
+    private boolean truncated;
 
     /** Creates a tracker at the start of a text. */
     public JsonEndTracker() {
@@ -44,19 +50,26 @@
             feeder.feedInput(bytes, offset, offset + length);
             readTokens();
         } catch (IOException e) {
+            log.debug("The text is not JSON, so its end cannot be checked: {}", e.getMessage());
             malformed = true;
         }
     }
 
     /**
-     * Processes the end of the text. Must be called at most once, after all bytes.
+     * Returns whether a text that ends here needs more bytes to complete its document. No bytes may be appended
+     * afterwards.
      *
-     * @return whether more bytes are needed to complete the document; false for a text that is not JSON
+     * @return false for a complete document, and for a text that is not JSON
      */
     public boolean isTruncatedAtEnd() {
-        if (malformed) {
-            return false;
+        if (!ended) {
+            ended = true;
+            truncated = !malformed && endsInsideDocument();
         }
+        return truncated;
+    }
+
+    private boolean endsInsideDocument() {
         feeder.endOfInput();
         try {
             readTokens();
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
@@ -1,25 +1,17 @@
 package dev.bluebellshunt.relay.proxy;
 
+import dev.bluebellshunt.transport.ResponseEnds;
 import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.http.HttpVersion;
-import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Blocker;
 import org.eclipse.jetty.util.Callback;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Writes a target's response to the caller. Not thread-safe. */
 final class ResponseWriter {
 
-    private static final Logger log = LoggerFactory.getLogger("request");
-
     private final Response response;
     private byte[] lastChunk = new byte[0];
 
@@ -43,36 +35,14 @@
         response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
 
-    /**
-     * Marks the end of a body without a length by an empty chunk, even if the connection is closed after the response.
-     * Otherwise the caller would take the end of the connection for the end of the body. Must be called before the
-     * first write.
-     */
+    /** Prepares a body that is written in several chunks. Must be called before the first write. */
     void beginStream() {
-        if (!response.getHeaders().contains(HttpHeader.CONTENT_LENGTH) && !isHttp10()) {
-            response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
-        }
+        ResponseEnds.requireChunks(response);
     }
 
-    private boolean isHttp10() {
-        return response.getRequest().getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_0;
-    }
-
-    /**
-     * Ends a response that cannot be completed, so that the caller detects it. A body in HTTP/1.0 may end with its connection,
-     * which is therefore reset.
-     */
+    /** Ends a response that cannot be completed, so that the caller detects it. */
     void abort(Callback callback, Throwable cause) {
-        EndPoint endPoint =
-                response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
-        if (response.isCommitted() && isHttp10() && endPoint.getTransport() instanceof SocketChannel channel) {
-            try {
-                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-            } catch (IOException e) {
-                log.debug("The caller's connection is closed already", e);
-            }
-        }
-        callback.failed(cause);
+        ResponseEnds.abort(response, callback, cause);
     }
 
     /** Writes a chunk of the body, and blocks until the write has completed. */
--- a/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
@@ -15,9 +15,10 @@
 /**
  * The body of a response. Its end is reported only if the body may be complete, otherwise reading fails.
  *
- * <p>HTTP takes a response with neither a length nor chunks to be complete when its connection is closed, even by a server
- * that crashes. Some content says more: an event stream that ends inside an event is truncated, however it is framed.
- * So is, without a length or chunks, an event stream that ends before its first event, and JSON that ends inside its document.
+ * <p>HTTP takes a response with neither a length nor chunks to be complete when its connection is closed, even by a
+ * server that crashes. Some content says more: an event stream that ends inside an event is truncated, however it is
+ * framed. So is, without a length or chunks, an event stream that ends before its first event, and JSON that ends inside
+ * its document.
  *
  * <p>Not thread-safe.
  */
@@ -37,7 +38,7 @@
     public ResponseBody(Response response, InputStream input) {
         this.input = input;
         this.framing = ResponseFraming.of(response);
-        this.content = Content.of(response.getHeaders());
+        this.content = Content.of(response.getHeaders(), framing);
     }
 
     /**
@@ -93,15 +94,17 @@
     }
 
     private @Nullable String findTruncation() {
-        boolean unframed = framing == ResponseFraming.CONNECTION_CLOSE;
         return switch (content) {
-            case Content.EventStream(EventBoundaryTracker events)
-            when events.isInsideEvent() -> "event stream ended inside an event";
-            case Content.EventStream(EventBoundaryTracker events)
-            when unframed && !events.hasEvent() -> "event stream ended before its first event";
-            case Content.Json(JsonEndTracker document)
-            when unframed && document.isTruncatedAtEnd() -> "JSON ended inside its document";
-            default -> null;
+            case Content.EventStream(EventBoundaryTracker events) -> {
+                if (events.isInsideEvent()) {
+                    yield "event stream ended inside an event";
+                }
+                boolean unframed = framing == ResponseFraming.CONNECTION_CLOSE;
+                yield unframed && !events.hasEvent() ? "event stream ended before its first event" : null;
+            }
+            case Content.Json(JsonEndTracker document) ->
+                document.isTruncatedAtEnd() ? "JSON ended inside its document" : null;
+            case Content.Opaque() -> null;
         };
     }
 
@@ -115,19 +118,21 @@
 
         record EventStream(EventBoundaryTracker events) implements Content {}
 
+        /** JSON whose end is not marked otherwise. */
         record Json(JsonEndTracker document) implements Content {}
 
         /** Content that does not show whether it is complete. */
         record Opaque() implements Content {}
 
-        static Content of(HttpFields headers) {
+        static Content of(HttpFields headers, ResponseFraming framing) {
             String contentType = headers.get(HttpHeader.CONTENT_TYPE);
             if (contentType == null || headers.contains(HttpHeader.CONTENT_ENCODING)) {
                 return new Opaque();
             }
             return switch (HttpField.stripParameters(contentType).toLowerCase(Locale.ROOT)) {
                 case "text/event-stream" -> new EventStream(new EventBoundaryTracker());
-                case "application/json" -> new Json(new JsonEndTracker());
+                case "application/json" ->
+                    framing == ResponseFraming.CONNECTION_CLOSE ? new Json(new JsonEndTracker()) : new Opaque();
                 default -> new Opaque();
             };
         }
--- /dev/null
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseEnds.java
@@ -0,0 +1,59 @@
+package dev.bluebellshunt.transport;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Lets clients of a Jetty server tell a complete response from a truncated one. */
+public final class ResponseEnds {
+
+    private static final Logger log = LoggerFactory.getLogger("server");
+
+    private ResponseEnds() {}
+
+    /**
+     * Marks the end of a body without a length by an empty chunk, even if the connection is closed after the response.
+     * Otherwise the client would take the end of the connection for the end of the body. Has no effect in HTTP/1.0,
+     * which has no chunks.
+     *
+     * @param response the response, which has not been committed
+     */
+    public static void requireChunks(Response response) {
+        if (!response.getHeaders().contains(HttpHeader.CONTENT_LENGTH) && !isHttp10(response)) {
+            response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+        }
+    }
+
+    /**
+     * Ends a response that cannot be completed. A body in HTTP/1.0 may end with its connection, which is therefore
+     * reset.
+     *
+     * @param response the response
+     * @param callback the callback of the request
+     * @param cause why the response cannot be completed
+     */
+    public static void abort(Response response, Callback callback, Throwable cause) {
+        EndPoint endPoint =
+                response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
+        if (response.isCommitted() && isHttp10(response) && endPoint.getTransport() instanceof SocketChannel channel) {
+            try {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException e) {
+                log.debug("The client's connection is closed already", e);
+            }
+        }
+        callback.failed(cause);
+    }
+
+    private static boolean isHttp10(Response response) {
+        return response.getRequest().getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_0;
+    }
+}
