Mark the end of the router's responses on connections that are closed afterwards

What callers could have seen: the start of a response as a complete one, if the router's process ended while it wrote to a caller that had asked to close the connection, or to any caller during a shutdown. Callers of streams could tell by the missing end marker. Nobody has reported it. Cause: the same as in the relay: Jetty sends such responses without framing. Evidence: RouterDaemonTests#endOfResponseIsMarkedOnConnectionToBeClosed failed before (no transfer encoding) and passes now. Why this works: the router asks for chunks, as the relay does, so that only the empty chunk ends the response.

--- a/router/src/main/java/dev/bluebellshunt/router/caller/JettyCallerResponse.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/JettyCallerResponse.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.router.caller;
 
 import dev.bluebellshunt.router.proxy.CallerResponse;
+import dev.bluebellshunt.transport.ResponseEnds;
 import java.io.IOException;
 import java.io.OutputStream;
 import org.eclipse.jetty.http.HttpFields;
@@ -22,6 +23,7 @@
     public void start(int status, HttpFields headers) {
         response.setStatus(status);
         response.getHeaders().add(headers);
+        ResponseEnds.requireChunks(response);
         output = Content.Sink.asOutputStream(response);
     }
 
--- a/router/src/test/java/dev/bluebellshunt/router/RouterDaemonTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/RouterDaemonTests.java
@@ -209,6 +209,23 @@
         assertThat(application.runs().size(), is(0));
     }
 
+    /** Guards against a response that a stopping router truncates, and whose caller takes it for complete. */
+    @Test
+    void endOfResponseIsMarkedOnConnectionToBeClosed() throws Exception {
+        for (String body : List.of(
+                "{\"model\":\"model\",\"prompt\":\"x\",\"max_tokens\":3,\"stream\":true}",
+                "{\"model\":\"model\",\"prompt\":\"x\",\"max_tokens\":3}")) {
+            ContentResponse response = http.newRequest("http://" + HOST + ":" + router.callerPort() + "/v1/completions")
+                    .method("POST")
+                    .headers(headers -> headers.put("authorization", "Bearer " + apiKey.reveal())
+                            .put("connection", "close"))
+                    .body(new StringRequestContent("application/json", body, StandardCharsets.UTF_8))
+                    .send();
+            assertThat(response.getContentAsString(), response.getStatus(), is(200));
+            assertThat(response.getHeaders().get("transfer-encoding"), is("chunked"));
+        }
+    }
+
     @Test
     void oversizedBodyIsRejected() throws Exception {
         ContentResponse response = send("POST", "/v1/completions", apiKey.reveal(), "x".repeat(100_001));
