--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -177,8 +177,11 @@
         };
     }
 
-    /** Sends a response with neither a length nor chunks, and closes the connection in order. */
-    private static ScriptedResponse unframed(String headers, String body) {
+    /**
+     * Sends a response, and closes the connection in order. The connection ends the response unless the headers have a
+     * length.
+     */
+    private static ScriptedResponse closeAfter(String headers, String body) {
         return (request, response, callback) -> {
             EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
             writeRaw(endPoint, "HTTP/1.1 200 OK\r\nt-seal: 1\r\nt-id: id-1\r\n" + headers + "\r\n" + body);
@@ -448,7 +451,9 @@
         assertError(
                 ErrorCode.INVALID_KEY, request("/safe/").headers(headers -> headers.put("authorization", "stolen")));
         assertError(ErrorCode.MALFORMED_REQUEST, request("/safe/").headers(headers -> headers.remove("t-id")));
-        assertIsError(ErrorCode.BODY_TOO_LARGE, 413, sendHeadOfLargeRequest());
+        String rejection = sendHeadOfLargeRequest();
+        assertThat(rejection, containsString("HTTP/1.1 413 "));
+        assertIsError(ErrorCode.BODY_TOO_LARGE, 413, rejection);
         assertError(ErrorCode.INTERNAL, request("/safe/").headers(headers -> headers.put("t-timeout", "no number")));
         limitedRequest().timeout(WAIT_SECONDS, TimeUnit.SECONDS).send();
         assertError(ErrorCode.RATE_LIMITED, limitedRequest());
@@ -466,8 +471,8 @@
                 endless("", "garbage "),
                 status(200, "", "unsigned response"),
                 status(503, "t-seal", ""),
-                unframed("content-length: 100\r\n", "short"),
-                unframed(EVENT_STREAM, "data: a"))) {
+                closeAfter("content-length: 100\r\n", "short"),
+                closeAfter(EVENT_STREAM, "data: a"))) {
             scriptedResponses.add(failure);
             assertError(ErrorCode.TARGET_FAILED, request("/once/" + failures++));
             registerTargets(1);
@@ -531,7 +536,7 @@
     @Test
     void unframedStreamThatEndsInsideEventIsNotCompleted() throws Exception {
         configure();
-        scriptedResponses.add(unframed(EVENT_STREAM, "id: 1\ndata: a\n\nid: 2\ndat"));
+        scriptedResponses.add(closeAfter(EVENT_STREAM, "id: 1\ndata: a\n\nid: 2\ndat"));
         assertThrows(ExecutionException.class, () -> get("/stream/"));
         assertThat(receivedRequests, hasSize(1));
     }
@@ -539,7 +544,7 @@
     @Test
     void unframedStreamThatEndsAfterEventIsForwarded() throws Exception {
         configure();
-        scriptedResponses.add(unframed(EVENT_STREAM, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        scriptedResponses.add(closeAfter(EVENT_STREAM, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
         ContentResponse response = get("/stream/");
         assertThat(response.getStatus(), equalTo(200));
         assertThat(response.getContentAsString(), equalTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
@@ -549,7 +554,7 @@
     @Test
     void unframedStreamWithoutEventIsFailureOfTarget() throws Exception {
         configure();
-        scriptedResponses.add(unframed(EVENT_STREAM, ""));
+        scriptedResponses.add(closeAfter(EVENT_STREAM, ""));
         assertThat(get("/stream/").getStatus(), equalTo(502));
     }
 
@@ -558,7 +563,7 @@
     void framedStreamThatEndsInsideEventIsNotCompleted() throws Exception {
         configure();
         String body = "id: 1\ndata: a\n\nid: 2\ndat";
-        scriptedResponses.add(unframed(EVENT_STREAM + "content-length: " + body.length() + "\r\n", body));
+        scriptedResponses.add(closeAfter(EVENT_STREAM + "content-length: " + body.length() + "\r\n", body));
         assertThrows(ExecutionException.class, () -> get("/stream/"));
     }
 
@@ -566,7 +571,7 @@
     @Test
     void bufferedStreamThatEndsInsideEventIsRetried() throws Exception {
         configure();
-        scriptedResponses.add(unframed(EVENT_STREAM, "data: a\n\ndat"));
+        scriptedResponses.add(closeAfter(EVENT_STREAM, "data: a\n\ndat"));
         assertThat(get("/safe/").getContentAsString(), equalTo("default response"));
         assertThat(receivedRequests, hasSize(2));
     }
@@ -601,7 +606,7 @@
     @Test
     void streamOnConnectionToBeClosedIsForwarded() throws Exception {
         configure();
-        scriptedResponses.add(unframed(EVENT_STREAM, "data: a\n\n"));
+        scriptedResponses.add(closeAfter(EVENT_STREAM, "data: a\n\n"));
         ContentResponse response = request("/stream/")
                 .headers(headers -> headers.put("connection", "close"))
                 .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -18,7 +18,9 @@
 import java.util.function.Supplier;
 
 /**
- * In-memory store shared by the VMs of a test, which can simulate outages, lost responses and lost history. Thread-safe.
+ * In-memory store shared by the VMs of a test, which can simulate outages, lost responses and lost history.
+ *
+ * <p>Thread-safe.
  */
 public final class FakeSharedStore implements SharedStore {
 
--- a/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
@@ -16,9 +16,9 @@
  * The body of a response. Its end is reported only if the body may be complete, otherwise reading fails.
  *
  * <p>HTTP takes a response with neither a length nor chunks to be complete when its connection is closed, even by a
- * server that crashes. Some content says more: an event stream that ends inside an event is truncated, however it is
- * framed. So is, without a length or chunks, an event stream that ends before its first event, and JSON that ends inside
- * its document.
+ * server that crashes. Some content says more. An event stream that ends inside an event is truncated, however it is
+ * framed. Without a length or chunks, so are an event stream that ends before its first event, and JSON that ends
+ * inside its document.
  *
  * <p>Not thread-safe.
  */
