Load no trusted certificates in clients that never use TLS

Cause: each Jetty client starts a TLS context, which reads and verifies all certificates that the Java installation trusts. A relay has two clients, and neither uses TLS. It does this at each start, on VMs with a third of a core.

--- a/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -46,6 +47,11 @@
                     SelectableChannel selectable, ManagedSelector selector, SelectionKey selectionKey) {
                 return new ResetDetectingEndPoint((SocketChannel) selectable, selector, selectionKey, getScheduler());
             }
+
+            @Override
+            protected SslContextFactory.Client newSslContextFactory() {
+                return new UnusedSslContextFactory();
+            }
         };
         connector.setExecutor(threads);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
@@ -68,4 +74,10 @@
         closer.add(client::stop);
         return client;
     }
+
+    /** Loads nothing: no client uses TLS, and loading the trusted certificates takes a large part of a start. */
+    private static final class UnusedSslContextFactory extends SslContextFactory.Client {
+        @Override
+        protected void doStart() {}
+    }
 }
