--- a/core/src/main/java/dev/bluebellshunt/core/codec/Json.java
+++ b/core/src/main/java/dev/bluebellshunt/core/codec/Json.java
@@ -1,17 +1,47 @@
 package dev.bluebellshunt.core.codec;
 
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.format.DateTimeParseException;
 
 /** Serializes records for the store and for peers as JSON. */
 public final class Json {
 
-    private static final ObjectMapper MAPPER =
-            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    private static final ObjectMapper MAPPER = new ObjectMapper()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .registerModule(new SimpleModule()
+                    .addSerializer(Duration.class, ToStringSerializer.instance)
+                    .addDeserializer(Duration.class, new DurationDeserializer()));
 
     private Json() {}
 
+    /** Reads durations in the ISO 8601 format of {@link Duration#toString()}. */
+    private static final class DurationDeserializer extends StdDeserializer<Duration> {
+        private static final long serialVersionUID = 1L;
+
+        private DurationDeserializer() {
+            super(Duration.class);
+        }
+
+        @Override
+        public Duration deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            try {
+                return Duration.parse(parser.getText());
+            } catch (DateTimeParseException e) {
+                throw new JsonParseException(parser, "invalid duration " + parser.getText(), e);
+            }
+        }
+    }
+
     /**
      * Returns the shared mapper, which ignores unknown fields so that later versions can add some.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -9,13 +9,16 @@
 import dev.bluebellshunt.relay.cache.PromptCacheStoreClient;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreIndex;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreSystem;
+import dev.bluebellshunt.relay.fleet.CurrentTopology;
 import dev.bluebellshunt.relay.fleet.FleetSystem;
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.model.CallerLimits;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.peer.HttpReportClient;
 import dev.bluebellshunt.relay.peer.InternalHandler;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.peer.PeerSystem;
+import dev.bluebellshunt.relay.peer.ReportReceiver;
 import dev.bluebellshunt.relay.proxy.HeaderCodec;
 import dev.bluebellshunt.relay.proxy.RelayContext;
 import dev.bluebellshunt.relay.proxy.RelayHandler;
@@ -37,6 +40,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpStatus;
@@ -121,9 +125,10 @@
         this.clock = clock;
         RandomGenerator random = RandomGenerator.getDefault();
         ControlLoop control = closer.add(new ControlLoop());
-        OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
+        CurrentTopology topology = new CurrentTopology();
+        OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, topology::isMember);
         TargetDirectory directory = new TargetDirectory(clock);
-        PeerReportTable peerReports = new PeerReportTable(clock);
+        PeerReportTable peerReports = new PeerReportTable(clock, settings.quotaWindow());
         FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow(), peerReports);
         EngineCacheIndex engineCacheIndex = new EngineCacheIndex(clock);
         PromptCacheStoreIndex cacheStoreIndex = new PromptCacheStoreIndex(clock);
@@ -146,22 +151,36 @@
                 settings.revocationTime().minus(REVOCATION_MARGIN),
                 settings.weightsTime().minus(WEIGHTS_MARGIN));
         control.add(operators);
-        control.add(new TargetListSystem(
+        TargetListSystem targetList = new TargetListSystem(
                 store,
                 directory,
                 crashSuspects,
                 settings.entryLifetime(),
                 control,
                 clock,
-                new JitteredTimer(clock, random, TARGET_INTERVAL)));
+                new JitteredTimer(clock, random, TARGET_INTERVAL),
+                topology::isMember,
+                settings.leavingTime().multipliedBy(3).dividedBy(4));
+        control.add(targetList);
         control.add(new QuarantineSystem(
                 store, crashSuspects, control, new JitteredTimer(clock, random, QUARANTINE_INTERVAL)));
+        ReportReceiver receiver = new ReportReceiver(
+                settings.vm() + "/" + Long.toHexString(random.nextLong()),
+                clock,
+                peerReports,
+                limits,
+                engineCacheIndex,
+                cacheStoreIndex,
+                directory,
+                crashSuspects,
+                operators,
+                targetList);
         // The port of the setting may be zero, and the other VMs need the actual one.
         ServerConnector internal = listen(
                 "internal",
                 settings.internal(),
                 HttpServers.newConfiguration(),
-                new InternalHandler(peerReports, engineCacheIndex, directory, crashSuspects, context.metrics()));
+                new InternalHandler(receiver, context.metrics()));
         FleetSystem fleet = new FleetSystem(
                 store,
                 operators,
@@ -171,7 +190,9 @@
                 new JitteredTimer(clock, random, FLEET_INTERVAL),
                 settings.vm(),
                 settings.failureDomain(),
-                settings.internal().getHostString() + ":" + internal.getLocalPort());
+                settings.internal().getHostString() + ":" + internal.getLocalPort(),
+                settings.capacity(),
+                topology);
         control.add(fleet);
         RolloutSystem rollout = new RolloutSystem(
                 store,
@@ -182,22 +203,30 @@
                 clock,
                 random,
                 peerReports,
+                topology::isHub,
                 settings.vm(),
                 settings.handoverDelay());
         control.add(rollout);
-        control.add(new PeerSystem(
-                peers,
-                fleet,
+        PeerSystem peerSystem = new PeerSystem(
+                new HttpReportClient(peers),
+                topology,
                 directory,
+                targetList,
+                operators,
                 peerReports,
+                receiver,
                 limits,
                 engineCacheIndex,
+                cacheStoreIndex,
                 rollout,
                 crashSuspects,
                 control,
+                clock,
                 new JitteredTimer(clock, random, PEER_INTERVAL),
-                settings.vm()));
-        control.add(new PromptCacheStoreSystem(cacheStores, cacheStoreIndex, operators, control, clock));
+                settings.vm());
+        control.add(peerSystem);
+        control.add(new PromptCacheStoreSystem(
+                cacheStores, cacheStoreIndex, operators, control, clock, peerSystem::followsHub));
         JitteredTimer housekeeping = new JitteredTimer(clock, random, HOUSEKEEPING_INTERVAL);
         control.add(() -> {
             if (housekeeping.isDue()) {
@@ -217,8 +246,12 @@
         return HttpServers.start(name, address, http, handler, new JsonErrorHandler(), closer);
     }
 
-    /** Returns the actual port for callers, which differs from the setting if that is zero. */
-    int callersPort() {
+    /**
+     * Returns the actual port for callers, which differs from the setting if that is zero.
+     *
+     * @return the port
+     */
+    public int callersPort() {
         return callers.getLocalPort();
     }
 
@@ -291,9 +324,9 @@
 
     /** Responds to the load balancer's readiness check. */
     private static final class ReadinessHandler extends Handler.Abstract {
-        private final java.util.function.BooleanSupplier ready;
+        private final BooleanSupplier ready;
 
-        private ReadinessHandler(java.util.function.BooleanSupplier ready) {
+        private ReadinessHandler(BooleanSupplier ready) {
             this.ready = ready;
         }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -9,6 +9,7 @@
  *
  * @param vm the name of the VM
  * @param failureDomain the failure domain of the VM
+ * @param capacity the processor cores that the process may use
  * @param callers the address that callers connect to
  * @param readiness the address of the load balancer's readiness check
  * @param internal the address that receives reports of the other VMs and serves metrics
@@ -17,12 +18,14 @@
  * @param revocationTime the time within which a revoked key must be rejected
  * @param weightsTime the time within which new requests must run on newly set weights
  * @param handoverDelay the minimum time between the orders of two successive holders of the rollout lease
+ * @param leavingTime the time within which a target that is shutting down must get no more requests
  * @param entryLifetime the time after which the store removes the entry of a target that has ended
  * @param gracePeriod the time that the process may take to stop
  */
 public record RelaySettings(
         String vm,
         String failureDomain,
+        double capacity,
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress internal,
@@ -31,5 +34,6 @@
         Duration revocationTime,
         Duration weightsTime,
         Duration handoverDelay,
+        Duration leavingTime,
         Duration entryLifetime,
         Duration gracePeriod) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/cache/PromptCacheStoreSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/cache/PromptCacheStoreSystem.java
@@ -7,6 +7,7 @@
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +27,7 @@
     private final OperatorStateSystem operators;
     private final ControlExecutor control;
     private final MonotonicClock clock;
+    private final BooleanSupplier followsPeer;
     private boolean callInFlight;
     private boolean available;
     private long epoch;
@@ -41,18 +43,21 @@
      * @param operators provides the configured address of the store
      * @param control the control thread
      * @param clock the time source
+     * @param followsPeer whether this VM copies the index of another VM, and does not poll
      */
     public PromptCacheStoreSystem(
             PromptCacheStoreClient client,
             PromptCacheStoreIndex index,
             OperatorStateSystem operators,
             ControlExecutor control,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            BooleanSupplier followsPeer) {
         this.client = client;
         this.index = index;
         this.operators = operators;
         this.control = control;
         this.clock = clock;
+        this.followsPeer = followsPeer;
         this.nextCall = new Deadline(clock.nanos());
     }
 
@@ -61,6 +66,10 @@
         if (callInFlight || !nextCall.hasPassed(clock)) {
             return;
         }
+        if (followsPeer.getAsBoolean()) {
+            next = 0;
+            return;
+        }
         Optional<String> address = operators
                 .configuration()
                 .flatMap(configuration ->
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -4,6 +4,7 @@
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.control.ControlSystem;
 import dev.bluebellshunt.core.control.JitteredTimer;
+import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.store.LeaseExpiredException;
@@ -39,6 +40,9 @@
     /** Demand is republished when it has grown or fallen by this factor. */
     static final double DEMAND_CHANGE_FACTOR = 1.5;
 
+    /** Minimum interval per VM of the fleet between two publications; bounds the writes of all VMs together. */
+    static final Duration DEMAND_INTERVAL_PER_VM = Duration.ofMillis(200);
+
     private static final Logger log = LoggerFactory.getLogger("fleet");
 
     private final SharedStore store;
@@ -50,10 +54,13 @@
     private final String vm;
     private final String failureDomain;
     private final String internalAddress;
+    private final double capacity;
     private final Map<String, Double> demand = new HashMap<>();
     private long lease = SharedStore.NO_LEASE;
     private VmRecord publishedRecord;
-    private List<String> peerAddresses = List.of();
+    private final CurrentTopology topology;
+    private int registeredVms = 1;
+    private Deadline nextDemand;
     private long measuredNanos;
     private boolean callInFlight;
     private boolean demandRestored;
@@ -70,6 +77,8 @@
      * @param vm the name of this VM
      * @param failureDomain the failure domain of this VM
      * @param internalAddress host and port at which the other VMs reach this one
+     * @param capacity the processor cores that this VM may use
+     * @param topology receives the place of this VM in the exchange of reports
      */
     public FleetSystem(
             SharedStore store,
@@ -80,17 +89,22 @@
             JitteredTimer interval,
             String vm,
             String failureDomain,
-            String internalAddress) {
+            String internalAddress,
+            double capacity,
+            CurrentTopology topology) {
         this.store = store;
         this.operators = operators;
         this.limits = limits;
         this.control = control;
         this.clock = clock;
         this.interval = interval;
-        this.publishedRecord = new VmRecord(vm, failureDomain, internalAddress, Map.of());
+        this.publishedRecord = new VmRecord(vm, failureDomain, internalAddress, capacity, Map.of());
         this.vm = vm;
         this.failureDomain = failureDomain;
         this.internalAddress = internalAddress;
+        this.capacity = capacity;
+        this.topology = topology;
+        this.nextDemand = new Deadline(clock.nanos());
         this.measuredNanos = clock.nanos();
     }
 
@@ -134,8 +148,9 @@
     private void exchange() {
         updateDemand();
         long previousLease = lease;
-        VmRecord ownRecord = hasDemandChanged() || previousLease == SharedStore.NO_LEASE
-                ? new VmRecord(vm, failureDomain, internalAddress, Map.copyOf(demand))
+        boolean demandDue = nextDemand.hasPassed(clock) && hasDemandChanged();
+        VmRecord ownRecord = demandDue || previousLease == SharedStore.NO_LEASE
+                ? new VmRecord(vm, failureDomain, internalAddress, capacity, Map.copyOf(demand))
                 : publishedRecord;
         CompletableFuture<ExchangeResult> exchange = ensureLease()
                 .thenCompose(leaseId -> leaseId == previousLease && ownRecord.equals(publishedRecord)
@@ -189,35 +204,29 @@
     private void onExchanged(ExchangeResult result, VmRecord ownRecord) {
         callInFlight = false;
         lease = result.lease();
+        if (!ownRecord.equals(publishedRecord)) {
+            nextDemand = Deadline.after(clock, DEMAND_INTERVAL_PER_VM.multipliedBy(registeredVms));
+        }
         publishedRecord = ownRecord;
         Map<String, Map<String, Double>> demands = new HashMap<>();
-        List<String> others = new ArrayList<>();
+        List<VmRecord> vms = new ArrayList<>();
         for (SharedRecord sharedRecord : result.records()) {
-            VmRecord other = read(sharedRecord).orElse(null);
-            if (other == null) {
-                continue;
-            }
-            demands.put(other.vm(), other.demand());
-            if (!other.vm().equals(vm)) {
-                others.add(other.internalAddress());
-            }
+            read(sharedRecord).ifPresent(vms::add);
         }
-        if (!peerAddresses.equals(others)) {
-            log.info("{} VMs are registered; peers: {}.", demands.size(), others);
+        vms.forEach(other -> demands.put(other.vm(), other.demand()));
+        registeredVms = Math.max(1, vms.size());
+        FleetTopology current = FleetTopology.of(vm, failureDomain, vms);
+        if (!current.equals(topology.topology())) {
+            log.info(
+                    "{} VMs are registered; this VM is {}; other hubs: {}.",
+                    vms.size(),
+                    current.isHub() ? "a hub" : "no hub",
+                    current.hubAddresses());
         }
-        peerAddresses = List.copyOf(others);
+        topology.update(current);
         operators.configuration().ifPresent(configuration -> limits.updateShares(configuration, vm, demands));
     }
 
-    /**
-     * Returns the addresses of the other VMs as of the last exchange.
-     *
-     * @return host and port of each
-     */
-    public List<String> peerAddresses() {
-        return peerAddresses;
-    }
-
     private void onFailure(Throwable failure) {
         callInFlight = false;
         lease = SharedStore.NO_LEASE;
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/VmRecord.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/VmRecord.java
@@ -8,6 +8,8 @@
  * @param vm the name of the VM
  * @param failureDomain the failure domain that the VM runs in
  * @param internalAddress host and port at which the other VMs reach it
+ * @param capacity the processor cores that it may use; zero in the records of older versions
  * @param demand the units per second that it admits, by limited workspace
  */
-public record VmRecord(String vm, String failureDomain, String internalAddress, Map<String, Double> demand) {}
+public record VmRecord(
+        String vm, String failureDomain, String internalAddress, double capacity, Map<String, Double> demand) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -3,10 +3,12 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.peer.PeerAdmissions;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -36,7 +38,8 @@
     private final PeerReportTable peers;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Map<String, PoolRetryBudget> retryBudgets = new ConcurrentHashMap<>();
-    private final Map<String, Map<String, Double>> peerShares = new ConcurrentHashMap<>();
+    private volatile Map<String, Map<String, Double>> peerShares = Map.of();
+    private volatile Reservations reservations = new Reservations(PeerAdmissions.NONE, Map.of(), Map.of());
     private volatile Map<String, Double> demandBeforeRestart = Map.of();
     private volatile int vmCount = 1;
 
@@ -49,6 +52,21 @@
      */
     public record RetryBounds(double perRequest, Duration window, double extra) {}
 
+    /**
+     * What is reserved for VMs that do not report.
+     *
+     * @param basis the admissions from which the reservations were computed
+     * @param shares the shares from which they were computed
+     * @param byWorkspace the reservations
+     */
+    private record Reservations(
+            PeerAdmissions basis, Map<String, Map<String, Double>> shares, Map<String, Reservation> byWorkspace) {}
+
+    private record Reservation(double units, boolean anySilent) {
+
+        private static final Reservation NONE = new Reservation(0, false);
+    }
+
     /**
      * Creates the limits of a VM that does not know any peers yet.
      *
@@ -73,10 +91,10 @@
      */
     public void updateShares(RelayConfiguration configuration, String ownVm, Map<String, Map<String, Double>> demands) {
         vmCount = Math.max(1, demands.size());
+        Map<String, Map<String, Double>> newPeerShares = new HashMap<>();
         for (RelayWorkspace workspace : configuration.workspaces().values()) {
             if (!workspace.isLimited()) {
                 quotas.remove(workspace.name());
-                peerShares.remove(workspace.name());
                 continue;
             }
             Map<String, Double> shares = computeShares(workspace, demands);
@@ -85,8 +103,9 @@
                     .updateShare(
                             ownShare == null ? windowLimit(workspace) * EVEN_FRACTION / vmCount : ownShare,
                             demandBeforeRestart.getOrDefault(workspace.name(), 0.0) * windowSeconds());
-            peerShares.put(workspace.name(), shares);
+            newPeerShares.put(workspace.name(), shares);
         }
+        peerShares = newPeerShares;
         retryBudgets.values().forEach(budget -> budget.resize(retryBurstPerVm()));
     }
 
@@ -143,38 +162,88 @@
         return workspace.isLimited() ? quota(workspace.name()).admit(cost, peerUsage(workspace)) : Duration.ZERO;
     }
 
-    /**
-     * Returns the peers' usage of a workspace's limit within the window. A peer without a current report counts
-     * with its share of the limit, or with its last reported admissions if these are larger and still within
-     * the window.
-     */
+    /** Returns the peers' usage of a workspace's limit within the window, and what it leaves to this VM. */
     private WorkspaceQuota.PeerUsage peerUsage(RelayWorkspace workspace) {
         double limit = windowLimit(workspace);
-        long now = clock.nanos();
-        double reported = 0;
+        PeerAdmissions peerAdmissions = peers.admissions();
+        Reservation reservation = reservation(workspace.name(), peerAdmissions);
+        double own = quota(workspace.name()).share();
+        return new WorkspaceQuota.PeerUsage(
+                limit - reservation.units(),
+                peerAdmissions.reported().getOrDefault(workspace.name(), 0.0),
+                peerAdmissions.estimate(workspace.name(), clock.nanos()),
+                OVERSIZED_FREE_FRACTION * (reservation.anySilent() ? own : limit));
+    }
+
+    private Reservation reservation(String workspace, PeerAdmissions peerAdmissions) {
+        PeerAdmissions.HubReservations byHub = peerAdmissions.hubReservations();
+        if (byHub != null) {
+            return new Reservation(byHub.units().getOrDefault(workspace, 0.0), byHub.anySilent());
+        }
+        return reservations(peerAdmissions).byWorkspace().getOrDefault(workspace, Reservation.NONE);
+    }
+
+    /** Returns the reservations, which are computed once for each change of the reports or shares. */
+    @SuppressWarnings("ReferenceEquality") // a change replaces the object, and comparing the contents would be slower
+    private Reservations reservations(PeerAdmissions peerAdmissions) {
+        Reservations current = reservations;
+        Map<String, Map<String, Double>> shares = peerShares;
+        if (current.basis() == peerAdmissions && current.shares() == shares) {
+            return current;
+        }
+        Map<String, Reservation> byWorkspace = new HashMap<>();
+        shares.forEach((workspace, byVm) -> byWorkspace.put(workspace, reserve(workspace, byVm, peerAdmissions)));
+        Reservations computed = new Reservations(peerAdmissions, shares, byWorkspace);
+        reservations = computed;
+        return computed;
+    }
+
+    /**
+     * Computes what is reserved for VMs that do not report: their shares, or what they had admitted if that is more
+     * and still within the window.
+     */
+    private static Reservation reserve(String workspace, Map<String, Double> shares, PeerAdmissions peerAdmissions) {
+        Map<String, Double> silentShares = new HashMap<>(shares);
+        silentShares.keySet().removeAll(peerAdmissions.reportingVms());
+        boolean anySilent = !silentShares.isEmpty();
         double reserved = 0;
-        boolean silent = false;
-        Map<String, Double> silentShares = new HashMap<>(peerShares.getOrDefault(workspace.name(), Map.of()));
-        for (Map.Entry<String, PeerReportTable.Admissions> peer :
-                peers.admissions().entrySet()) {
-            double units = peer.getValue().units().getOrDefault(workspace.name(), 0.0);
-            if (!peer.getValue().expiry().hasPassed(clock)) {
-                reported += units;
-                silentShares.remove(peer.getKey());
-                continue;
+        for (PeerAdmissions.SilentGroup group : peerAdmissions.silent()) {
+            Set<String> vms = group.vms().isEmpty() ? Set.copyOf(silentShares.keySet()) : group.vms();
+            int silent = 0;
+            double share = 0;
+            for (String vm : vms) {
+                if (!peerAdmissions.reportingVms().contains(vm)) {
+                    silent++;
+                    Double silentShare = silentShares.remove(vm);
+                    share += silentShare == null ? 0 : silentShare;
+                }
             }
-            boolean inWindow = now - peer.getValue().receivedNanos() < quotaWindow.toNanos();
-            Double share = silentShares.remove(peer.getKey());
-            reserved += Math.max(share == null ? 0 : share, inWindow ? units : 0);
-            silent |= share != null;
+            // The sum of a group can't be divided by VM, so its silent VMs are assumed to have had an equal part.
+            double admitted = group.admitted().getOrDefault(workspace, 0.0) * silent / Math.max(1, vms.size());
+            reserved += Math.max(share, admitted);
         }
         for (double share : silentShares.values()) {
             reserved += share;
-            silent = true;
         }
-        double own = quota(workspace.name()).share();
-        return new WorkspaceQuota.PeerUsage(
-                limit - reserved, reported, OVERSIZED_FREE_FRACTION * (silent ? own : limit));
+        return new Reservation(reserved, anySilent);
+    }
+
+    /**
+     * Returns what this VM has reserved for VMs that do not report, for the members of its group.
+     *
+     * @return the reservations of all limited workspaces
+     */
+    public PeerAdmissions.HubReservations hubReservations() {
+        Map<String, Double> units = new HashMap<>();
+        boolean anySilent = false;
+        for (Map.Entry<String, Reservation> reservation :
+                reservations(peers.admissions()).byWorkspace().entrySet()) {
+            anySilent |= reservation.getValue().anySilent();
+            if (reservation.getValue().units() > 0) {
+                units.put(reservation.getKey(), reservation.getValue().units());
+            }
+        }
+        return new PeerAdmissions.HubReservations(units, anySilent);
     }
 
     private double windowLimit(RelayWorkspace workspace) {
@@ -201,6 +270,22 @@
         return units;
     }
 
+    /**
+     * Returns the rates at which this VM currently admits units.
+     *
+     * @return units per second by limited workspace
+     */
+    public Map<String, Double> admissionRates() {
+        Map<String, Double> rates = new HashMap<>();
+        quotas.forEach((workspace, quota) -> {
+            double rate = quota.admittedPerSecond();
+            if (rate > 0) {
+                rates.put(workspace, rate);
+            }
+        });
+        return rates;
+    }
+
     /**
      * Refunds the cost of a request that no target has executed.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Sliding-window counter of the units that this VM has admitted for a workspace.
@@ -23,6 +24,7 @@
     private final double[] admitted = new double[SLOTS + 1];
     private long currentSlot;
     private double admittedTotal;
+    private double largestInSlot;
     private double share;
     private boolean initialized;
     private double admittedSinceDrain;
@@ -32,9 +34,10 @@
      *
      * @param limit the units that this VM and the reporting peers may admit together within a window
      * @param reported the units that the reporting peers had admitted as of their latest reports
+     * @param estimated the units that they have admitted by now, if they went on at the reported rates
      * @param oversizedThreshold the free units that suffice to admit a request of any size
      */
-    record PeerUsage(double limit, double reported, double oversizedThreshold) {}
+    record PeerUsage(double limit, double reported, double estimated, double oversizedThreshold) {}
 
     WorkspaceQuota(MonotonicClock clock, Duration window) {
         this.clock = clock;
@@ -71,24 +74,26 @@
      */
     synchronized Duration admit(double cost, PeerUsage peers) {
         expireSlots();
-        double used = admittedTotal + peers.reported() + estimateUnreported(peers);
+        double used = admittedTotal + Math.max(peers.estimated(), peers.reported() + estimateUnreported(peers));
         double needed = Math.min(cost, peers.oversizedThreshold());
         if (!initialized || used + needed > peers.limit()) {
             return Duration.ofNanos(slotNanos * slotsUntilFree(used + needed - peers.limit(), used));
         }
         charge(cost);
+        largestInSlot = Math.max(largestInSlot, cost);
         return Duration.ZERO;
     }
 
     /**
      * Estimates what the peers have admitted since their latest reports, assuming the same ratio of recent to
-     * total admissions as on this VM. Without the estimate, every VM would admit the same free units.
+     * total admissions as on this VM. Without the estimate, every VM would admit the same free units. A VM that has
+     * admitted a single request recently can't tell a ratio.
      */
     private double estimateUnreported(PeerUsage peers) {
         if (admittedTotal <= 0) {
             return 0;
         }
-        double recent = 0;
+        double recent = -largestInSlot;
         for (int slots = 0; slots < UNREPORTED_SLOTS; slots++) {
             recent += admitted[index(currentSlot - slots)];
         }
@@ -126,6 +131,14 @@
         return Math.max(0, admittedTotal);
     }
 
+    /** Returns the units admitted per second, measured over the current slot and the one before. */
+    synchronized double admittedPerSecond() {
+        expireSlots();
+        long measuredNanos = clock.nanos() - (currentSlot - 1) * slotNanos;
+        double recent = admitted[index(currentSlot)] + admitted[index(currentSlot - 1)];
+        return Math.max(0, recent) * TimeUnit.SECONDS.toNanos(1) / measuredNanos;
+    }
+
     /** Returns the units admitted since the previous call, and resets the count. */
     synchronized double drainAdmitted() {
         double drained = Math.max(0, admittedSinceDrain);
@@ -143,6 +156,7 @@
             currentSlot++;
             admittedTotal -= admitted[index(currentSlot)];
             admitted[index(currentSlot)] = 0;
+            largestInSlot = 0;
         }
         currentSlot = Math.max(currentSlot, nowSlot);
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/model/RelayConfiguration.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/model/RelayConfiguration.java
@@ -1,15 +1,25 @@
 package dev.bluebellshunt.relay.model;
 
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-/** Immutable version of the operators' configuration, indexed for request processing. */
+/**
+ * Immutable version of the operators' configuration, indexed for request processing. VMs send it to each other as JSON.
+ */
+@JsonAutoDetect(
+        fieldVisibility = JsonAutoDetect.Visibility.NONE,
+        getterVisibility = JsonAutoDetect.Visibility.NONE,
+        isGetterVisibility = JsonAutoDetect.Visibility.NONE)
 public final class RelayConfiguration {
 
     private final long version;
+    private final List<RelayRoute> routes;
     private final Map<String, List<RelayRoute>> routesByHost = new HashMap<>();
     private final Map<String, PoolSpec> pools;
     private final Map<String, RelayWorkspace> workspaces;
@@ -28,15 +38,17 @@
      * @param cacheStores host and port of each prompt cache store
      * @param limits the limits for callers
      */
+    @JsonCreator
     public RelayConfiguration(
-            long version,
-            List<RelayRoute> routes,
-            Map<String, PoolSpec> pools,
-            Map<String, RelayWorkspace> workspaces,
-            Map<String, String> workspaceByKey,
-            List<String> cacheStores,
-            CallerLimits limits) {
+            @JsonProperty("version") long version,
+            @JsonProperty("routes") List<RelayRoute> routes,
+            @JsonProperty("pools") Map<String, PoolSpec> pools,
+            @JsonProperty("workspaces") Map<String, RelayWorkspace> workspaces,
+            @JsonProperty("workspaceByKey") Map<String, String> workspaceByKey,
+            @JsonProperty("cacheStores") List<String> cacheStores,
+            @JsonProperty("limits") CallerLimits limits) {
         this.version = version;
+        this.routes = List.copyOf(routes);
         this.pools = Map.copyOf(pools);
         this.workspaces = Map.copyOf(workspaces);
         this.workspaceByKey = Map.copyOf(workspaceByKey);
@@ -58,10 +70,21 @@
      *
      * @return a number that increases with each change
      */
+    @JsonProperty
     public long version() {
         return version;
     }
 
+    @JsonProperty
+    List<RelayRoute> routes() {
+        return routes;
+    }
+
+    @JsonProperty
+    Map<String, String> workspaceByKey() {
+        return workspaceByKey;
+    }
+
     /**
      * Finds the route with the longest prefix that matches a path.
      *
@@ -93,6 +116,7 @@
      *
      * @return the pools by name
      */
+    @JsonProperty
     public Map<String, PoolSpec> pools() {
         return pools;
     }
@@ -102,6 +126,7 @@
      *
      * @return the workspaces by name; empty if callers need no key
      */
+    @JsonProperty
     public Map<String, RelayWorkspace> workspaces() {
         return workspaces;
     }
@@ -121,6 +146,7 @@
      *
      * @return host and port of each
      */
+    @JsonProperty
     public List<String> cacheStores() {
         return cacheStores;
     }
@@ -130,6 +156,7 @@
      *
      * @return the limits
      */
+    @JsonProperty
     public CallerLimits limits() {
         return limits;
     }
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/FleetDigest.java
@@ -0,0 +1,29 @@
+package dev.bluebellshunt.relay.peer;
+
+import dev.bluebellshunt.core.retry.CrashReport;
+import dev.bluebellshunt.relay.target.InFlightLoad;
+import dev.bluebellshunt.relay.target.LoadedWeights;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * State of the whole fleet except for the VM that asks its hub for it.
+ *
+ * @param uses the load on each target by target id, without idle targets
+ * @param admitted the units admitted within the window, by limited workspace
+ * @param admissionRates the units currently admitted per second, by limited workspace
+ * @param reserved the units reserved for VMs that do not report, by limited workspace
+ * @param anySilent whether a registered VM does not report
+ * @param givesOrders whether a VM orders engines to load new weights
+ * @param loaded the weights that engines have recently loaded
+ * @param crashes the crashes of targets by the requests that they were running
+ */
+public record FleetDigest(
+        Map<String, InFlightLoad> uses,
+        Map<String, Double> admitted,
+        Map<String, Double> admissionRates,
+        Map<String, Double> reserved,
+        boolean anySilent,
+        boolean givesOrders,
+        List<LoadedWeights> loaded,
+        CrashReport crashes) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
@@ -1,15 +1,12 @@
 package dev.bluebellshunt.relay.peer;
 
 import dev.bluebellshunt.core.codec.Json;
-import dev.bluebellshunt.core.retry.CrashReport;
-import dev.bluebellshunt.core.retry.CrashSuspects;
-import dev.bluebellshunt.relay.target.EngineCacheIndex;
-import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.telemetry.RelayMetrics;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -27,40 +24,25 @@
     private static final int MAX_REPORT_BYTES = 256 * 1024;
     private static final Logger log = LoggerFactory.getLogger("peers");
 
-    private final PeerReportTable peerReports;
-    private final EngineCacheIndex engineCacheIndex;
-    private final TargetDirectory directory;
-    private final CrashSuspects crashSuspects;
+    private final ReportReceiver receiver;
     private final RelayMetrics metrics;
 
     /**
      * Creates the handler.
      *
-     * @param peerReports receives the reports
-     * @param engineCacheIndex receives the reported cache contents of the engines
-     * @param directory receives the reported weights of the engines
-     * @param crashSuspects receives the reported crashes of targets
+     * @param receiver receives the reports
      * @param metrics the metrics to serve
      */
-    public InternalHandler(
-            PeerReportTable peerReports,
-            EngineCacheIndex engineCacheIndex,
-            TargetDirectory directory,
-            CrashSuspects crashSuspects,
-            RelayMetrics metrics) {
-        this.peerReports = peerReports;
-        this.engineCacheIndex = engineCacheIndex;
-        this.directory = directory;
-        this.crashSuspects = crashSuspects;
+    public InternalHandler(ReportReceiver receiver, RelayMetrics metrics) {
+        this.receiver = receiver;
         this.metrics = metrics;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws IOException {
         String path = Request.getPathInContext(request);
-        if (PeerSystem.REPORT_PATH.equals(path)) {
-            response.setStatus(receiveReport(request) ? HttpStatus.NO_CONTENT_204 : HttpStatus.BAD_REQUEST_400);
-            response.write(true, null, callback);
+        if (HttpReportClient.REPORT_PATH.equals(path)) {
+            receiveReport(request, response, callback);
             return true;
         }
         if (METRICS_PATH.equals(path)) {
@@ -71,21 +53,23 @@
         return false;
     }
 
-    private boolean receiveReport(Request request) throws IOException {
+    private void receiveReport(Request request, Response response, Callback callback) throws IOException {
+        Optional<ReportReply> reply;
         try (InputStream input = Content.Source.asInputStream(request)) {
-            String text = new String(input.readNBytes(MAX_REPORT_BYTES), StandardCharsets.UTF_8);
-            PeerReport report = Json.read(text, PeerReport.class);
-            peerReports.update(report);
-            engineCacheIndex.mergeUpdates(report.prefixes());
-            directory.recordLoadedWeights(report.loaded());
-            CrashReport crashes = report.crashes();
-            if (crashes != null) {
-                crashSuspects.mergeReport(crashes);
-            }
-            return true;
+            reply = receiver.receive(Json.read(
+                    new String(input.readNBytes(MAX_REPORT_BYTES), StandardCharsets.UTF_8), ReportMessage.class));
         } catch (IllegalArgumentException e) {
             log.warn("Rejecting malformed peer report: {}", e.getMessage());
-            return false;
+            response.setStatus(HttpStatus.BAD_REQUEST_400);
+            response.write(true, null, callback);
+            return;
+        }
+        if (reply.isEmpty()) {
+            response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+            response.write(true, null, callback);
+            return;
         }
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.write(true, ByteBuffer.wrap(Json.write(reply.get()).getBytes(StandardCharsets.UTF_8)), callback);
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
@@ -1,91 +1,195 @@
 package dev.bluebellshunt.relay.peer;
 
+import dev.bluebellshunt.core.retry.CrashReport;
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.peer.PeerAdmissions.HubReservations;
 import dev.bluebellshunt.relay.target.InFlightLoad;
+import dev.bluebellshunt.relay.target.LoadedWeights;
 import java.time.Duration;
-import java.util.Collections;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Latest reports of the other VMs, aggregated by target. Thread-safe.
+ * Latest reports of the other VMs, aggregated by target and workspace. Thread-safe.
  *
- * <p>A report expires after a few report intervals. The requests that a silent VM had in flight have ended by
- * then, or their state is unknown.
+ * <p>A hub receives reports of the members of its group, and of the other hubs. A member receives digests from its
+ * hub, which take precedence over reports. Reports and digests expire after a few report intervals. The requests that
+ * a silent VM had in flight have ended by then, or their state is unknown; its admissions still count.
  */
 public final class PeerReportTable {
 
     /** Lifetime of a report; several report intervals, so that a single lost report has no effect. */
     public static final Duration REPORT_TTL = Duration.ofMillis(1_200);
 
-    /** Retention of a silent VM's admissions; longer than the windows of the limits. */
-    private static final Duration ADMISSIONS_RETENTION = Duration.ofSeconds(30);
-
     private final MonotonicClock clock;
-    private final Map<String, ReceivedReport> reports = new HashMap<>();
+    private final Duration admissionWindow;
+    private final Map<String, Received> members = new HashMap<>();
+    private final Map<String, Received> groups = new HashMap<>();
+    private @Nullable Received own;
+    private @Nullable FleetDigest digest;
+    private long digestNanos;
     private volatile Map<String, InFlightLoad> totals = Map.of();
     private volatile boolean peersIssueOrders;
-    private final Map<String, Admissions> admissions = new ConcurrentHashMap<>();
+    private volatile PeerAdmissions admissions = PeerAdmissions.NONE;
+    private volatile Deadline admissionsExpiry;
 
-    private record ReceivedReport(PeerReport report, Deadline expiry) {}
+    private record Received(PeerReport report, long nanos) {
 
-    /**
-     * Admissions of a VM as of its latest report.
-     *
-     * @param units the units admitted within the window, by workspace
-     * @param receivedNanos when the report was received
-     * @param expiry when the report expires
-     */
-    public record Admissions(Map<String, Double> units, long receivedNanos, Deadline expiry) {}
+        private Deadline expiry() {
+            return new Deadline(nanos + REPORT_TTL.toNanos());
+        }
+    }
 
     /**
      * Creates an empty table.
      *
      * @param clock the time source
+     * @param admissionWindow the window for which the admissions of VMs that no longer report are kept
      */
-    public PeerReportTable(MonotonicClock clock) {
+    public PeerReportTable(MonotonicClock clock, Duration admissionWindow) {
         this.clock = clock;
+        this.admissionWindow = admissionWindow;
+        this.admissionsExpiry = new Deadline(clock.nanos());
     }
 
     /**
-     * Stores a report, unless a current one with a higher sequence number is known. A restarted VM counts from
-     * zero again, so an expired report does not take precedence.
+     * Stores the report of a hub, unless a current one with a higher sequence number is known. A restarted VM counts
+     * from zero again, so an expired report does not take precedence.
      *
-     * @param report the report of a peer
+     * @param report the report of another hub
      */
     public synchronized void update(PeerReport report) {
-        ReceivedReport previous = reports.get(report.vm());
-        boolean outOfOrder = previous != null
-                && !previous.expiry().hasPassed(clock)
-                && previous.report().sequence() > report.sequence();
+        put(groups, report);
+    }
+
+    /**
+     * Stores the report of a member of this hub's group, on the same conditions.
+     *
+     * @param report the report of a VM that is no hub
+     */
+    public synchronized void updateMember(PeerReport report) {
+        put(members, report);
+    }
+
+    /**
+     * Stores what a hub has answered.
+     *
+     * @param next the state of all other VMs
+     * @param askedNanos when the hub was asked; the answer may have been under way for some time
+     */
+    public synchronized void updateDigest(FleetDigest next, long askedNanos) {
+        digest = next;
+        digestNanos = askedNanos;
+        aggregate();
+    }
+
+    /**
+     * Stores the report of this VM, for the sums that it sends as a hub.
+     *
+     * @param report the report of this VM
+     */
+    public synchronized void updateOwn(PeerReport report) {
+        own = new Received(report, clock.nanos());
+    }
+
+    private void put(Map<String, Received> reports, PeerReport report) {
+        Received previous = reports.get(report.vm());
+        boolean outOfOrder =
+                previous != null && isFresh(previous) && previous.report().sequence() > report.sequence();
         if (!outOfOrder) {
-            Deadline expiry = Deadline.after(clock, REPORT_TTL);
-            reports.put(report.vm(), new ReceivedReport(report, expiry));
-            admissions.put(report.vm(), new Admissions(report.admitted(), clock.nanos(), expiry));
+            reports.put(report.vm(), new Received(report, clock.nanos()));
         }
-        updateTotals();
+        aggregate();
+    }
+
+    private boolean isFresh(Received received) {
+        return !received.expiry().hasPassed(clock);
+    }
+
+    private boolean isDigestFresh() {
+        return digest != null && clock.nanos() - digestNanos < REPORT_TTL.toNanos();
     }
 
     /** Removes expired reports. */
     public synchronized void expireReports() {
-        long oldest = clock.nanos() - ADMISSIONS_RETENTION.toNanos();
-        admissions.values().removeIf(last -> last.receivedNanos() < oldest);
-        if (reports.values().removeIf(received -> received.expiry().hasPassed(clock))) {
-            updateTotals();
+        long oldest = clock.nanos() - Math.max(REPORT_TTL.toNanos(), admissionWindow.toNanos());
+        members.values().removeIf(received -> received.nanos() - oldest <= 0);
+        groups.values().removeIf(received -> received.nanos() - oldest <= 0);
+        if (digest != null && digestNanos - oldest <= 0) {
+            digest = null;
+        }
+        aggregate();
+    }
+
+    private List<Received> freshReports() {
+        List<Received> fresh = new ArrayList<>();
+        groups.values().stream().filter(this::isFresh).forEach(fresh::add);
+        members.values().stream().filter(this::isFresh).forEach(fresh::add);
+        return fresh;
+    }
+
+    private void aggregate() {
+        FleetDigest current = digest;
+        if (current != null && isDigestFresh()) {
+            totals = current.uses();
+            peersIssueOrders = current.givesOrders();
+        } else {
+            Sums sums = new Sums(clock.nanos());
+            freshReports().forEach(sums::add);
+            totals = sums.uses;
+            peersIssueOrders = sums.givesOrders;
         }
+        aggregateAdmissions();
     }
 
-    private void updateTotals() {
-        Map<String, InFlightLoad> sums = new HashMap<>();
-        boolean anyIssuesOrders = false;
-        for (ReceivedReport received : reports.values()) {
-            received.report().uses().forEach((target, load) -> sums.merge(target, load, InFlightLoad::plus));
-            anyIssuesOrders |= received.report().givesOrders();
+    private void aggregateAdmissions() {
+        long now = clock.nanos();
+        FleetDigest current = digest;
+        if (current != null && isDigestFresh()) {
+            admissions = new PeerAdmissions(
+                    current.admitted(),
+                    current.admissionRates(),
+                    digestNanos,
+                    Set.of(),
+                    List.of(),
+                    new HubReservations(current.reserved(), current.anySilent()));
+            admissionsExpiry = new Deadline(digestNanos + REPORT_TTL.toNanos());
+            return;
+        }
+        Sums sums = new Sums(now);
+        List<PeerAdmissions.SilentGroup> silent = new ArrayList<>();
+        long expiry = now + REPORT_TTL.toNanos();
+        for (Map<String, Received> reports : List.of(groups, members)) {
+            for (Received received : reports.values()) {
+                if (isFresh(received)) {
+                    sums.add(received);
+                    expiry = Math.min(expiry, received.expiry().atNanos());
+                } else if (now - received.nanos() < admissionWindow.toNanos()) {
+                    silent.add(new PeerAdmissions.SilentGroup(
+                            received.report().vms(), received.report().admitted()));
+                }
+            }
         }
-        totals = sums;
-        peersIssueOrders = anyIssuesOrders;
+        sums.silent.forEach((vm, units) -> silent.add(new PeerAdmissions.SilentGroup(Set.of(vm), units)));
+        if (current != null && now - digestNanos < admissionWindow.toNanos()) {
+            silent.add(new PeerAdmissions.SilentGroup(Set.of(), add(current.admitted(), current.reserved())));
+        }
+        admissions = new PeerAdmissions(sums.admitted, sums.rates, now, sums.vms, silent, null);
+        admissionsExpiry = new Deadline(expiry);
+    }
+
+    private static Map<String, Double> add(Map<String, Double> first, Map<String, Double> second) {
+        Map<String, Double> sum = new HashMap<>(first);
+        second.forEach((workspace, units) -> sum.merge(workspace, units, Double::sum));
+        return sum;
     }
 
     /**
@@ -108,11 +212,137 @@
     }
 
     /**
-     * Returns the last reported admissions of the other VMs, including VMs that no longer report.
+     * Returns what the other VMs have admitted, including VMs that no longer report.
+     *
+     * @return an immutable view, the same one until it changes
+     */
+    public PeerAdmissions admissions() {
+        if (admissionsExpiry.hasPassed(clock)) {
+            synchronized (this) {
+                aggregateAdmissions();
+            }
+        }
+        return admissions;
+    }
+
+    /**
+     * Sums up this hub and its group for the other hubs.
      *
-     * @return an unmodifiable live view by VM
+     * @param prefixes the prompt segments to report, of this VM and of its group
+     * @return the report
      */
-    public Map<String, Admissions> admissions() {
-        return Collections.unmodifiableMap(admissions);
+    public synchronized PeerReport groupReport(Map<String, Map<String, List<String>>> prefixes) {
+        Received ownReport = Objects.requireNonNull(own, "no report of this VM");
+        Set<String> reportedElsewhere = new HashSet<>();
+        groups.values().stream()
+                .filter(this::isFresh)
+                .forEach(group -> reportedElsewhere.addAll(group.report().vms()));
+        Sums sums = new Sums(clock.nanos());
+        sums.add(ownReport);
+        Map<String, Map<String, Double>> silent = new HashMap<>();
+        for (Received member : members.values()) {
+            if (isFresh(member)) {
+                sums.add(member);
+            } else if (!reportedElsewhere.contains(member.report().vm())) {
+                silent.put(member.report().vm(), member.report().admitted());
+            }
+        }
+        return new PeerReport(
+                ownReport.report().vm(),
+                ownReport.report().sequence(),
+                sums.uses,
+                round(sums.admitted),
+                prefixes,
+                sums.givesOrders,
+                List.copyOf(sums.loaded),
+                sums.crashes(),
+                round(sums.rates),
+                sums.vms,
+                silent);
+    }
+
+    /**
+     * Returns the state of the fleet for a member of this hub's group.
+     *
+     * @param member the name of the member, which is left out
+     * @param reservations the units reserved for VMs that do not report
+     * @return the state
+     */
+    public synchronized FleetDigest digestFor(String member, HubReservations reservations) {
+        Sums sums = new Sums(clock.nanos());
+        if (own != null) {
+            sums.add(own);
+        }
+        for (Received received : freshReports()) {
+            if (!received.report().vm().equals(member)) {
+                sums.add(received);
+            }
+        }
+        return new FleetDigest(
+                sums.uses,
+                round(sums.admitted),
+                round(sums.rates),
+                round(reservations.units()),
+                reservations.anySilent(),
+                sums.givesOrders,
+                List.copyOf(sums.loaded),
+                sums.crashes());
+    }
+
+    /** Rounds up, since fractions of units are irrelevant and would make up most of the size of a message. */
+    private static Map<String, Double> round(Map<String, Double> units) {
+        Map<String, Double> rounded = new HashMap<>();
+        units.forEach((workspace, value) -> rounded.put(workspace, Math.ceil(value)));
+        return rounded;
+    }
+
+    /** Sums over reports, with the admissions extrapolated to one time. */
+    private static final class Sums {
+        private final long nowNanos;
+        private final Map<String, InFlightLoad> uses = new HashMap<>();
+        private final Map<String, Double> admitted = new HashMap<>();
+        private final Map<String, Double> rates = new HashMap<>();
+        private final Set<String> vms = new HashSet<>();
+        private final Set<LoadedWeights> loaded = new HashSet<>();
+        private final Map<Long, Map<String, String>> crashed = new HashMap<>();
+        private final Map<Long, Set<String>> cleared = new HashMap<>();
+        private final Map<String, Map<String, Double>> silent = new HashMap<>();
+        private boolean givesOrders;
+
+        private Sums(long nowNanos) {
+            this.nowNanos = nowNanos;
+        }
+
+        private void add(Received received) {
+            PeerReport report = received.report();
+            double seconds = (nowNanos - received.nanos()) / (double) TimeUnit.SECONDS.toNanos(1);
+            report.uses().forEach((target, load) -> uses.merge(target, load, InFlightLoad::plus));
+            report.admitted().forEach((workspace, units) -> admitted.merge(workspace, units, Double::sum));
+            report.admissionRates().forEach((workspace, rate) -> {
+                rates.merge(workspace, rate, Double::sum);
+                admitted.merge(workspace, rate * seconds, Double::sum);
+            });
+            vms.addAll(report.vms());
+            loaded.addAll(report.loaded());
+            givesOrders |= report.givesOrders();
+            silent.putAll(report.silent());
+            addCrashes(report.crashes());
+        }
+
+        private void addCrashes(@Nullable CrashReport report) {
+            if (report == null || report.isEmpty()) {
+                return;
+            }
+            report.crashes()
+                    .forEach((fingerprint, targets) -> crashed.computeIfAbsent(fingerprint, f -> new HashMap<>())
+                            .putAll(targets));
+            report.cleared()
+                    .forEach((fingerprint, targets) -> cleared.computeIfAbsent(fingerprint, f -> new HashSet<>())
+                            .addAll(targets));
+        }
+
+        private CrashReport crashes() {
+            return crashed.isEmpty() && cleared.isEmpty() ? CrashReport.EMPTY : new CrashReport(crashed, cleared);
+        }
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -5,91 +5,139 @@
 import dev.bluebellshunt.core.control.JitteredTimer;
 import dev.bluebellshunt.core.retry.CrashReport;
 import dev.bluebellshunt.core.retry.CrashSuspects;
-import dev.bluebellshunt.relay.fleet.FleetSystem;
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.cache.PromptCacheStoreIndex;
+import dev.bluebellshunt.relay.fleet.CurrentTopology;
+import dev.bluebellshunt.relay.fleet.FleetTopology;
 import dev.bluebellshunt.relay.limit.FleetLimits;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.InFlightLoad;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.TargetDirectory;
-import dev.bluebellshunt.transport.JsonHttpClient;
+import dev.bluebellshunt.relay.target.TargetListSystem;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.eclipse.jetty.http.HttpMethod;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Periodically reports this VM's load and admissions to the other VMs. */
+/**
+ * Periodically exchanges reports with the other VMs: as a hub with all other hubs, otherwise with one hub.
+ *
+ * <p>Confined to the control thread, except for {@link #followsHub()}.
+ */
 public final class PeerSystem implements ControlSystem {
 
-    /** Path of the endpoint that receives reports. */
-    public static final String REPORT_PATH = "/peers/uses";
-
-    /** An idle VM reports only at every third tick, which is within the lifetime of a report. */
+    /** A hub with an idle group reports only at every third tick, which is within the lifetime of a report. */
     private static final int TICKS_PER_IDLE_REPORT = 3;
 
+    /** An idle member reports at every second tick, since its hub also tells it what has changed. */
+    private static final int TICKS_PER_IDLE_MEMBER_REPORT = 2;
+
     /** How long a crash is reported; several report intervals, so that a single lost report has no effect. */
     private static final Duration CRASH_REPORT_WINDOW = Duration.ofSeconds(1);
 
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    /** Time after which a new hub has heard from all other hubs. */
+    private static final Duration HUB_WARM_UP = Duration.ofMillis(900);
+
+    /** Time for which a hub that did not respond is not asked again. */
+    private static final Duration HUB_BACKOFF = Duration.ofSeconds(2);
+
+    /** Age of the operators' state beyond which a hub asks other hubs for theirs; its own watch has failed. */
+    private static final Duration STALE_STATE_AGE = Duration.ofMillis(2_900);
+
     private static final Logger log = LoggerFactory.getLogger("peers");
 
-    private final JsonHttpClient http;
-    private final FleetSystem fleet;
+    private final ReportClient client;
+    private final CurrentTopology currentTopology;
     private final TargetDirectory directory;
+    private final TargetListSystem targetList;
+    private final OperatorStateSystem operators;
     private final PeerReportTable peerReports;
+    private final ReportReceiver receiver;
     private final FleetLimits limits;
     private final EngineCacheIndex engineCacheIndex;
+    private final PromptCacheStoreIndex cacheStoreIndex;
     private final RolloutStatus rolloutStatus;
     private final CrashSuspects crashSuspects;
     private final ControlExecutor control;
+    private final MonotonicClock clock;
     private final JitteredTimer interval;
     private final String vm;
     private final Set<String> pendingAddresses = new HashSet<>();
+    private final Map<String, Deadline> hubBackoffs = new HashMap<>();
     private long sequence;
     private int idleTicks;
+    private Deadline hubReady;
+    private boolean isHub;
+    private String currentHub = "";
+    private String hubProcess = "";
+    private long hubPrefixes;
+    private long hubCacheStoreChanges;
+    private volatile Deadline hubAnswerExpiry;
 
     /**
      * Creates a system.
      *
-     * @param http the client for sending reports
-     * @param fleet provides the addresses of the other VMs
+     * @param client sends the reports
+     * @param currentTopology provides the place of this VM in the exchange
      * @param directory provides this VM's load on each target
+     * @param targetList receives the targets that a hub has read
+     * @param operators receives the operators' state that a hub has read
      * @param peerReports the received reports
+     * @param receiver serves the members of this VM's group
      * @param limits provides this VM's admissions
      * @param engineCacheIndex provides the prompt prefixes that engines have processed
+     * @param cacheStoreIndex receives the contents of the prompt cache store that a hub has read
      * @param rolloutStatus provides the state of the weight rollout on this VM
      * @param crashSuspects provides the requests that were running when targets crashed
      * @param control the control thread
+     * @param clock a clock that includes the time for which the VM is suspended
      * @param interval the report interval
      * @param vm the name of this VM
      */
     public PeerSystem(
-            JsonHttpClient http,
-            FleetSystem fleet,
+            ReportClient client,
+            CurrentTopology currentTopology,
             TargetDirectory directory,
+            TargetListSystem targetList,
+            OperatorStateSystem operators,
             PeerReportTable peerReports,
+            ReportReceiver receiver,
             FleetLimits limits,
             EngineCacheIndex engineCacheIndex,
+            PromptCacheStoreIndex cacheStoreIndex,
             RolloutStatus rolloutStatus,
             CrashSuspects crashSuspects,
             ControlExecutor control,
+            MonotonicClock clock,
             JitteredTimer interval,
             String vm) {
-        this.http = http;
-        this.fleet = fleet;
+        this.client = client;
+        this.currentTopology = currentTopology;
         this.directory = directory;
+        this.targetList = targetList;
+        this.operators = operators;
         this.peerReports = peerReports;
+        this.receiver = receiver;
         this.limits = limits;
         this.engineCacheIndex = engineCacheIndex;
+        this.cacheStoreIndex = cacheStoreIndex;
         this.rolloutStatus = rolloutStatus;
         this.crashSuspects = crashSuspects;
         this.control = control;
+        this.clock = clock;
         this.interval = interval;
         this.vm = vm;
+        this.hubReady = new Deadline(clock.nanos());
+        this.hubAnswerExpiry = hubReady;
     }
 
     @Override
@@ -98,23 +146,39 @@
             return;
         }
         peerReports.expireReports();
-        Map<String, InFlightLoad> localLoad = localLoad();
-        CrashReport crashes = crashSuspects.recentReport(CRASH_REPORT_WINDOW);
-        boolean idle = localLoad.isEmpty() && !rolloutStatus.issuesOrders() && crashes.isEmpty();
-        idleTicks = idle ? idleTicks + 1 : 0;
-        if (idleTicks % TICKS_PER_IDLE_REPORT != 0) {
-            return;
+        FleetTopology topology = currentTopology.topology();
+        if (topology.isHub() && !isHub) {
+            hubReady = Deadline.after(clock, HUB_WARM_UP);
+        }
+        isHub = topology.isHub();
+        receiver.setServesMembers(isHub && hubReady.hasPassed(clock));
+        PeerReport own = ownReport();
+        peerReports.updateOwn(own);
+        if (isHub) {
+            reportToHubs(topology.hubAddresses(), own);
+        } else {
+            reportToOneHub(topology.hubAddresses(), own);
         }
-        PeerReport report = new PeerReport(
+    }
+
+    /** Returns whether a hub tells this VM what it reads from the stores. Thread-safe. */
+    public boolean followsHub() {
+        return !hubAnswerExpiry.hasPassed(clock);
+    }
+
+    private PeerReport ownReport() {
+        return new PeerReport(
                 vm,
                 ++sequence,
-                localLoad,
+                localLoad(),
                 limits.admitted(),
                 engineCacheIndex.drainUpdates(),
                 rolloutStatus.issuesOrders(),
                 rolloutStatus.recentlyLoaded(),
-                crashes);
-        fleet.peerAddresses().forEach(address -> send(address, report));
+                crashSuspects.recentReport(CRASH_REPORT_WINDOW),
+                limits.admissionRates(),
+                Set.of(vm),
+                Map.of());
     }
 
     private Map<String, InFlightLoad> localLoad() {
@@ -130,16 +194,110 @@
         return localLoad;
     }
 
-    private void send(String address, PeerReport report) {
+    private void reportToHubs(List<String> hubs, PeerReport own) {
+        currentHub = "";
+        receiver.prefixUpdates().add(vm, own.prefixes(), true);
+        PeerReport group = peerReports.groupReport(receiver.prefixUpdates().drainUnreported());
+        if (skipsIdleReport(group, TICKS_PER_IDLE_REPORT)) {
+            return;
+        }
+        boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0;
+        ReportMessage message = new ReportMessage(group, false, wantsState, configurationVersion(), "", 0, 0, 0);
+        hubs.forEach(hub -> send(hub, message));
+    }
+
+    private boolean skipsIdleReport(PeerReport report, int ticksPerReport) {
+        CrashReport crashes = report.crashes();
+        boolean idle = report.uses().isEmpty() && !report.givesOrders() && (crashes == null || crashes.isEmpty());
+        idleTicks = idle ? idleTicks + 1 : 0;
+        return idleTicks % ticksPerReport != 0;
+    }
+
+    private void reportToOneHub(List<String> hubs, PeerReport own) {
+        if (skipsIdleReport(own, TICKS_PER_IDLE_MEMBER_REPORT)) {
+            return;
+        }
+        hubBackoffs.values().removeIf(backoff -> backoff.hasPassed(clock));
+        if (!hubs.contains(currentHub) || hubBackoffs.containsKey(currentHub)) {
+            currentHub = hubs.stream()
+                    .filter(address -> !hubBackoffs.containsKey(address))
+                    .findFirst()
+                    .orElse("");
+        }
+        if (currentHub.isEmpty()) {
+            return;
+        }
+        send(
+                currentHub,
+                new ReportMessage(
+                        own,
+                        true,
+                        true,
+                        configurationVersion(),
+                        hubProcess,
+                        targetList.learnedFrom(hubProcess),
+                        hubPrefixes,
+                        hubCacheStoreChanges));
+    }
+
+    private long configurationVersion() {
+        return operators.configuration().map(RelayConfiguration::version).orElse(0L);
+    }
+
+    private void send(String address, ReportMessage message) {
         if (!pendingAddresses.add(address)) {
             return;
         }
+        long askedNanos = clock.nanos();
         control.onCompletion(
-                http.send(HttpMethod.POST, address, REPORT_PATH, report, CALL_TIMEOUT),
-                response -> pendingAddresses.remove(address),
+                client.send(address, message),
+                reply -> {
+                    pendingAddresses.remove(address);
+                    receive(reply, askedNanos);
+                },
                 failure -> {
                     pendingAddresses.remove(address);
+                    if (address.equals(currentHub)) {
+                        hubBackoffs.put(address, Deadline.after(clock, HUB_BACKOFF));
+                        interval.triggerNow();
+                    }
                     log.debug("Could not send a report to the peer at {}: {}", address, failure.toString());
                 });
     }
+
+    private void receive(ReportReply reply, long askedNanos) {
+        ReportReply.Operators state = reply.operators();
+        if (state != null) {
+            operators.learn(state.state(), askedNanos - TimeUnit.MILLISECONDS.toNanos(state.ageMillis()));
+        }
+        ReportReply.Targets targets = reply.targets();
+        if (targets != null) {
+            targetList.learn(
+                    reply.process(),
+                    targets.listing(),
+                    targets.entries(),
+                    askedNanos - TimeUnit.MILLISECONDS.toNanos(targets.ageMillis()),
+                    targets.afterOutage());
+        }
+        FleetDigest digest = reply.digest();
+        if (digest != null) {
+            receiveDigest(digest, reply, askedNanos);
+        }
+    }
+
+    private void receiveDigest(FleetDigest digest, ReportReply reply, long askedNanos) {
+        peerReports.updateDigest(digest, askedNanos);
+        directory.recordLoadedWeights(digest.loaded());
+        crashSuspects.mergeReport(digest.crashes());
+        hubProcess = reply.process();
+        if (reply.prefixes() != null) {
+            hubPrefixes = reply.prefixes().next();
+            engineCacheIndex.mergeUpdates(reply.prefixes().prefixes());
+        }
+        if (reply.cacheStore() != null) {
+            hubCacheStoreChanges = reply.cacheStore().next();
+            cacheStoreIndex.copy(reply.cacheStore());
+        }
+        hubAnswerExpiry = new Deadline(askedNanos + PeerReportTable.REPORT_TTL.toNanos());
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -18,7 +19,8 @@
  *
  * <p>At most one call is in flight: a full read after startup or a failure, otherwise a watch that returns at
  * the first change or after a timeout. The local copy is current as of the time at which the last successful
- * call was sent, so its age grows while the store does not respond. Confined to the control thread, except for
+ * call was sent, so its age grows while the store does not respond. A VM may also adopt the state of another VM, with
+ * the age that it has there. Confined to the control thread, except for
  * the accessors, which are thread-safe.
  */
 public final class OperatorStateSystem implements ControlSystem {
@@ -32,6 +34,12 @@
     /** Delay after a failed call, to avoid calling an unavailable store in a tight loop. */
     static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
+    /**
+     * Maximum age of a copy from another VM. That VM's own copy reaches twice the timeout of a watch, and reports add
+     * some hundred milliseconds; a read of the store must still fit into the time for revoking a key.
+     */
+    static final Duration MAX_PEER_AGE = Duration.ofMillis(3_200);
+
     /** Retention of superseded versions; exceeds every deadline for new weights. The latest older one is kept as well. */
     static final Duration VERSION_RETENTION = Duration.ofMinutes(1);
 
@@ -43,6 +51,7 @@
     private final SharedStore store;
     private final ControlExecutor control;
     private final MonotonicClock clock;
+    private final BooleanSupplier mayFollowPeer;
     private final Map<String, DesiredWeights> weights = new HashMap<>();
     private boolean callInFlight;
     private boolean fullReadNeeded = true;
@@ -53,6 +62,15 @@
     private volatile @Nullable RelayConfiguration configuration;
     private volatile Map<String, DesiredWeights> weightsSnapshot = Map.of();
     private volatile long stateAsOfNanos;
+    private volatile @Nullable Snapshot snapshot;
+
+    /**
+     * The local copy at one time.
+     *
+     * @param state the state, with the full configuration
+     * @param asOfNanos the time as of which the state was current
+     */
+    public record Snapshot(OperatorState state, long asOfNanos) {}
 
     /**
      * A version of a model's weights that operators have set as the desired one.
@@ -98,22 +116,30 @@
      * @param store the shared store
      * @param control the control thread
      * @param clock a clock that includes the time for which the VM is suspended
+     * @param mayFollowPeer whether another VM watches the store for this one, so that this VM calls the store only
+     *     when the local copy is older than {@link #MAX_PEER_AGE}
      */
-    public OperatorStateSystem(SharedStore store, ControlExecutor control, MonotonicClock clock) {
+    public OperatorStateSystem(
+            SharedStore store, ControlExecutor control, MonotonicClock clock, BooleanSupplier mayFollowPeer) {
         this.store = store;
         this.control = control;
         this.clock = clock;
+        this.mayFollowPeer = mayFollowPeer;
         this.nextCall = new Deadline(clock.nanos());
     }
 
     @Override
     public void tick() {
-        if (callInFlight || !nextCall.hasPassed(clock)) {
+        if (callInFlight || !nextCall.hasPassed(clock) || followsPeer()) {
             return;
         }
         call();
     }
 
+    private boolean followsPeer() {
+        return initialized && mayFollowPeer.getAsBoolean() && age().compareTo(MAX_PEER_AGE) < 0;
+    }
+
     private void call() {
         callInFlight = true;
         long sentNanos = clock.nanos();
@@ -131,11 +157,44 @@
             reachable = true;
             log.info("The store answers again.");
         }
+        update(state, sentNanos);
+        if (!followsPeer()) {
+            call();
+        }
+    }
+
+    private void update(OperatorState state, long asOfNanos) {
         revision = Math.max(revision, state.revision());
         apply(state);
+        if (!initialized || asOfNanos - stateAsOfNanos > 0) {
+            stateAsOfNanos = asOfNanos;
+        }
         initialized = true;
-        stateAsOfNanos = sentNanos;
-        call();
+        Map<String, Long> versions = new HashMap<>();
+        weights.forEach((model, desired) -> versions.put(model, desired.version()));
+        snapshot = new Snapshot(new OperatorState(revision, configuration, versions), stateAsOfNanos);
+    }
+
+    /**
+     * Adopts the state of another VM. An older state than the local copy changes nothing.
+     *
+     * @param state the state; its configuration is null if this VM has it already
+     * @param asOfNanos the time as of which it was current, on the clock of this VM
+     */
+    public void learn(OperatorState state, long asOfNanos) {
+        if (initialized && asOfNanos - stateAsOfNanos <= 0) {
+            return;
+        }
+        update(state, asOfNanos);
+    }
+
+    /**
+     * Returns the local copy for other VMs. Thread-safe.
+     *
+     * @return the copy, or empty before the first read
+     */
+    public Optional<Snapshot> snapshot() {
+        return Optional.ofNullable(snapshot);
     }
 
     private void apply(OperatorState state) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -5,8 +5,13 @@
 import dev.bluebellshunt.core.control.JitteredTimer;
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.SharedStore;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,7 +26,26 @@
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final JitteredTimer pollInterval;
+    private final BooleanSupplier mayFollowPeer;
+    private final Duration maxPeerAge;
     private boolean readPending;
+    private boolean storeFailed;
+    private @Nullable LearnedListing learned;
+    private volatile @Nullable Listing listing;
+
+    /**
+     * A listing of all registered targets.
+     *
+     * @param number the number of listings since the start of this process
+     * @param entriesNumber the number of the first listing with these entries
+     * @param entries all entries in the store
+     * @param asOfNanos the time as of which the listing was current
+     * @param afterOutage whether it is the first one after the store did not answer
+     */
+    public record Listing(
+            long number, long entriesNumber, List<TargetEntry> entries, long asOfNanos, boolean afterOutage) {}
+
+    private record LearnedListing(String process, long number) {}
 
     /**
      * Creates a system that reads for the first time at its first tick.
@@ -33,6 +57,9 @@
      * @param control the executor of the control thread
      * @param clock the time source
      * @param pollInterval the interval between reads
+     * @param mayFollowPeer whether another VM reads the targets for this one, so that this VM reads them only when the
+     *     latest listing is too old
+     * @param maxPeerAge the maximum age of a listing that another VM has read
      */
     public TargetListSystem(
             SharedStore store,
@@ -41,34 +68,107 @@
             Duration entryLifetime,
             ControlExecutor control,
             MonotonicClock clock,
-            JitteredTimer pollInterval) {
+            JitteredTimer pollInterval,
+            BooleanSupplier mayFollowPeer,
+            Duration maxPeerAge) {
         this.store = store;
         this.directory = directory;
         this.registrations = new RegistrationMonitor(crashSuspects, entryLifetime);
         this.control = control;
         this.clock = clock;
         this.pollInterval = pollInterval;
+        this.mayFollowPeer = mayFollowPeer;
+        this.maxPeerAge = maxPeerAge;
     }
 
     @Override
     public void tick() {
-        if (readPending || !pollInterval.isDue()) {
+        if (readPending || followsPeer() || !pollInterval.isDue()) {
             return;
         }
         readPending = true;
         long sentNanos = clock.nanos();
         control.onCompletion(
                 store.readTargets(),
-                listing -> {
+                entries -> {
                     readPending = false;
-                    directory.update(listing);
-                    registrations.update(listing, sentNanos);
+                    learned = null;
+                    update(entries, sentNanos, storeFailed);
+                    storeFailed = false;
                 },
                 failure -> {
                     readPending = false;
+                    storeFailed = true;
                     directory.recordStoreFailure();
                     registrations.recordStoreFailure();
                     log.debug("Failed to read the registered targets: {}", failure.toString());
                 });
     }
+
+    private boolean followsPeer() {
+        Listing latest = listing;
+        return latest != null
+                && mayFollowPeer.getAsBoolean()
+                && clock.nanos() - latest.asOfNanos() < maxPeerAge.toNanos();
+    }
+
+    private void update(List<TargetEntry> entries, long asOfNanos, boolean afterOutage) {
+        Listing previous = listing;
+        long number = previous == null ? 1 : previous.number() + 1;
+        long entriesNumber =
+                previous == null || !previous.entries().equals(entries) ? number : previous.entriesNumber();
+        listing = new Listing(number, entriesNumber, List.copyOf(entries), asOfNanos, afterOutage);
+        directory.update(entries);
+        registrations.update(entries, asOfNanos);
+    }
+
+    /**
+     * Adopts a listing that another process has read, unless a newer one is known.
+     *
+     * @param process identifies the process
+     * @param number the number of the listing in that process
+     * @param entries the entries, or null if they are those of the listing that was last adopted
+     * @param asOfNanos the time as of which the listing was current, on the clock of this VM
+     * @param afterOutage whether it is the first one after the store did not answer
+     */
+    public void learn(
+            String process, long number, @Nullable List<TargetEntry> entries, long asOfNanos, boolean afterOutage) {
+        Listing previous = listing;
+        LearnedListing id = new LearnedListing(process, number);
+        if (id.equals(learned) || (previous != null && asOfNanos - previous.asOfNanos() <= 0)) {
+            return;
+        }
+        List<TargetEntry> adopted = entries;
+        if (adopted == null) {
+            if (previous == null || learned == null) {
+                return;
+            }
+            adopted = previous.entries();
+        }
+        learned = id;
+        if (afterOutage) {
+            directory.recordStoreFailure();
+            registrations.recordStoreFailure();
+        }
+        update(adopted, asOfNanos, afterOutage);
+    }
+
+    /**
+     * Returns the number of the listing that was last adopted from a process.
+     *
+     * @param process identifies the process
+     * @return the number, or zero if this VM has its targets from elsewhere
+     */
+    public long learnedFrom(String process) {
+        return learned != null && learned.process().equals(process) ? learned.number() : 0;
+    }
+
+    /**
+     * Returns the latest listing, for other VMs. Thread-safe.
+     *
+     * @return the listing, or empty before the first one
+     */
+    public Optional<Listing> listing() {
+        return Optional.ofNullable(listing);
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -68,6 +69,7 @@
     private final String vm;
     private final RolloutLease lease;
     private final PeerReportTable peers;
+    private final BooleanSupplier mayAcquire;
     private final JitteredTimer acquireInterval;
     private final Map<TargetEntry.Incarnation, Progress> progress = new HashMap<>();
     private final Map<LoadedWeights, Deadline> announcedUntil = new HashMap<>();
@@ -83,6 +85,7 @@
      * @param clock a clock that includes the time during which the VM is suspended
      * @param random the source of jitter that spreads the lease attempts of the VMs
      * @param peers the reports of the other VMs, which tell whether one of them is the holder
+     * @param mayAcquire whether this VM may become the holder
      * @param vm the name of this VM
      * @param minHandoverInterval the minimum time between the orders of two holders
      */
@@ -95,6 +98,7 @@
             MonotonicClock clock,
             RandomGenerator random,
             PeerReportTable peers,
+            BooleanSupplier mayAcquire,
             String vm,
             Duration minHandoverInterval) {
         this.engines = engines;
@@ -103,6 +107,7 @@
         this.control = control;
         this.clock = clock;
         this.peers = peers;
+        this.mayAcquire = mayAcquire;
         this.acquireInterval = new JitteredTimer(clock, random, IDLE_ACQUIRE_INTERVAL);
         acquireInterval.rescheduleAfter(
                 Duration.ofNanos((long) (IDLE_ACQUIRE_INTERVAL.toNanos() * random.nextDouble())));
@@ -116,7 +121,7 @@
         directory.setLoading(plan.loading());
         if (lease.isHeld()) {
             lease.renewIfDue();
-        } else if (!peers.peersIssueOrders() && acquireInterval.isDue()) {
+        } else if (mayAcquire.getAsBoolean() && !peers.peersIssueOrders() && acquireInterval.isDue()) {
             lease.tryAcquire();
             if (!plan.steps().isEmpty()) {
                 acquireInterval.rescheduleAfter(ACQUIRE_INTERVAL);
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -146,6 +146,7 @@
         RelaySettings settings = new RelaySettings(
                 vm,
                 "fd-1",
+                1,
                 ANY_PORT,
                 ANY_PORT,
                 ANY_PORT,
@@ -154,6 +155,7 @@
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(8),
                 Duration.ofSeconds(3),
+                Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(8));
         EngineControl noEngines = new EngineControl() {
--- a/relay/src/test/java/dev/bluebellshunt/relay/cache/PromptCacheStoreIndexTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/cache/PromptCacheStoreIndexTests.java
@@ -74,11 +74,53 @@
         assertThat(index.claimSave("d", "subject"), equalTo(Optional.empty()));
     }
 
+    /** Copies the changes since the given number, and returns the number of changes that the copy has now. */
+    private long copyTo(PromptCacheStoreIndex copy, long since) {
+        IndexChanges changes = index.changesSince(since);
+        copy.copy(changes);
+        return changes.next();
+    }
+
+    @Test
+    void copyFollowsChangesRestartsAndOutages() {
+        PromptCacheStoreIndex copy = new PromptCacheStoreIndex(clock);
+        index.applyChanges(ADDRESS, changeBatch(1, true, "root"));
+        long has = copyTo(copy, 0);
+        index.applyChanges(ADDRESS, changeBatch(1, true, "subject"));
+        assertThat("only the changes are sent", index.changesSince(has).batches(), hasSize(1));
+        has = copyTo(copy, has);
+        assertThat(copy.findSource("d", SEGMENTS), equalTo(Optional.of(ADDRESS)));
+        index.markUnavailable();
+        has = copyTo(copy, has);
+        assertThat(copy.findSource("d", SEGMENTS), equalTo(Optional.empty()));
+        index.applyChanges(ADDRESS, changeBatch(2, true, "root"));
+        has = copyTo(copy, has);
+        assertThat("the restarted store has lost a segment", copy.findSource("d", SEGMENTS), equalTo(Optional.empty()));
+        index.applyChanges(ADDRESS, changeBatch(2, true, "subject"));
+        copyTo(copy, has);
+        assertThat(copy.findSource("d", SEGMENTS), equalTo(Optional.of(ADDRESS)));
+    }
+
+    /** Guards against a copy that keeps segments whose removal it has missed. */
+    @Test
+    void copyThatHasMissedChangesGetsTheWholeContent() {
+        PromptCacheStoreIndex copy = new PromptCacheStoreIndex(clock);
+        index.applyChanges(ADDRESS, changeBatch(1, true, "root", "subject"));
+        long has = copyTo(copy, 0);
+        index.applyChanges(ADDRESS, changeBatch(1, false, "root"));
+        for (int i = 0; i < 3_000; i++) {
+            index.applyChanges(ADDRESS, changeBatch(1, true, "other-" + i));
+        }
+        copyTo(copy, has);
+        assertThat(copy.findSource("d", SEGMENTS), equalTo(Optional.empty()));
+        assertThat(copy.findSource("d", List.of("subject", "other-2999")), equalTo(Optional.of(ADDRESS)));
+    }
+
     @Test
     void systemPollsConfiguredStoreAndReadsAllChangesAfterOutage() {
         ManualControlExecutor control = new ManualControlExecutor();
         FakeSharedStore shared = new FakeSharedStore(clock);
-        OperatorStateSystem operators = new OperatorStateSystem(shared, control, clock);
+        OperatorStateSystem operators = new OperatorStateSystem(shared, control, clock, () -> false);
         List<Long> requestedSince = new ArrayList<>();
         List<CompletableFuture<PromptCacheStoreClient.ChangeBatch>> responses = new ArrayList<>();
         PromptCacheStoreSystem system = new PromptCacheStoreSystem(
@@ -91,7 +133,8 @@
                 index,
                 operators,
                 control,
-                clock);
+                clock,
+                () -> false);
         Runnable step = () -> {
             operators.tick();
             control.runAll();
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
@@ -39,7 +39,7 @@
     private long sequence;
 
     private final class Vm {
-        private final PeerReportTable peers = new PeerReportTable(clock);
+        private final PeerReportTable peers = new PeerReportTable(clock, WINDOW);
         private final FleetLimits limits = new FleetLimits(clock, RETRIES, WINDOW, peers);
         private double admitted;
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
@@ -22,7 +22,7 @@
 
     private Duration admit(double cost) {
         double limit = quota.share();
-        return quota.admit(cost, new WorkspaceQuota.PeerUsage(limit, 0, limit * 0.8));
+        return quota.admit(cost, new WorkspaceQuota.PeerUsage(limit, 0, 0, limit * 0.8));
     }
 
     @Test
@@ -92,7 +92,7 @@
     void unusedPeerCapacityMayBeUsedBeyondTheOwnShare() {
         quota.updateShare(10_000, 0);
         clock.advance(WINDOW.multipliedBy(2));
-        WorkspaceQuota.PeerUsage peers = new WorkspaceQuota.PeerUsage(40_000, 10_000, 32_000);
+        WorkspaceQuota.PeerUsage peers = new WorkspaceQuota.PeerUsage(40_000, 10_000, 10_000, 32_000);
         double spent = 0;
         while (quota.admit(1_000, peers).isZero()) {
             spent += 1_000;
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
@@ -0,0 +1,264 @@
+package dev.bluebellshunt.relay.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.testing.Configurations;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Fleets that are too large for every VM to report to every other one: freshness, limits and the number of messages,
+ * while messages are delayed, lost and doubled, VMs pause and wake, hubs are killed, and the store refuses some VMs.
+ */
+class HubFleetTests {
+
+    private static final int SEEDS = 12;
+    private static final double RATE = 100_000;
+    private static final double BURST = 100_000;
+    private static final double LIMIT = RATE * 8 + BURST;
+    private static final double UNITS = 1_000;
+
+    private SimulatedFleet fleet = new SimulatedFleet(0, 0);
+    private final NavigableMap<Long, Long> versions = new TreeMap<>();
+    private final NavigableMap<Long, List<TargetEntry>> targets = new TreeMap<>();
+    private final Map<SimulatedFleet.Vm, Long> seenVersions = new HashMap<>();
+
+    private void startFleet(int size, long seed) {
+        fleet = new SimulatedFleet(size, seed);
+        versions.clear();
+        targets.clear();
+        seenVersions.clear();
+        publishVersion(1);
+        publishTargets(3);
+        fleet.run(Duration.ofSeconds(15));
+    }
+
+    private void publishVersion(long version) {
+        versions.put(fleet.clock.nanos(), version);
+        fleet.store.publish(new OperatorState(0, Configurations.withTokenLimit(version, RATE, BURST), Map.of()));
+    }
+
+    private void publishTargets(int count) {
+        List<TargetEntry> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            entries.add(new TargetEntry("t-" + i, 1, "apps", "10.0.0." + i, 80, "fd-1", 6, false, Map.of()));
+        }
+        targets.put(fleet.clock.nanos(), entries);
+        fleet.store.setTargets(entries);
+    }
+
+    private List<SimulatedFleet.Vm> runningVms() {
+        return fleet.vms.stream().filter(SimulatedFleet.Vm::isRunning).toList();
+    }
+
+    /** A VM that says how old its configuration and targets are knows everything that was written before. */
+    private void assertAgesAreNotUnderstated(String when) {
+        for (SimulatedFleet.Vm vm : runningVms()) {
+            long version = vm.operators
+                    .configuration()
+                    .map(RelayConfiguration::version)
+                    .orElse(0L);
+            assertThat(
+                    "version at " + vm.name + when, version, greaterThanOrEqualTo(seenVersions.getOrDefault(vm, 0L)));
+            seenVersions.put(vm, version);
+            if (version > 0) {
+                long asOfNanos = fleet.clock.nanos() - vm.operators.age().toNanos();
+                assertThat(
+                        "version at " + vm.name + when,
+                        version,
+                        greaterThanOrEqualTo(versions.lowerEntry(asOfNanos).getValue()));
+            }
+            vm.targetList
+                    .listing()
+                    .ifPresent(listing -> assertThat(
+                            "listing at " + vm.name + when,
+                            targets.tailMap(targets.lowerKey(listing.asOfNanos()), true)
+                                    .containsValue(listing.entries())));
+        }
+    }
+
+    /** Guards against ages that are counted from the arrival of a message, or by the clock of its sender. */
+    @Test
+    void delayedMessagesNeverLookYoungerThanTheyAre() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            startFleet(24, seed);
+            fleet.disturbance = 0.3;
+            for (int step = 0; step < 800; step++) {
+                if (fleet.random.nextInt(30) == 0) {
+                    publishVersion(versions.lastEntry().getValue() + 1);
+                }
+                if (fleet.random.nextInt(30) == 0) {
+                    publishTargets(1 + fleet.random.nextInt(5));
+                }
+                disturbVms();
+                fleet.step();
+                assertAgesAreNotUnderstated(" with seed " + seed + " at step " + step);
+            }
+        }
+    }
+
+    private void disturbVms() {
+        int index = fleet.random.nextInt(fleet.vms.size());
+        SimulatedFleet.Vm vm = fleet.vms.get(index);
+        switch (fleet.random.nextInt(60)) {
+            case 0 -> vm.pause();
+            case 1 -> fleet.restart(index);
+            case 2 -> vm.storeClient.refuses = true;
+            default -> {}
+        }
+        SimulatedFleet.Vm other = fleet.vms.get(fleet.random.nextInt(fleet.vms.size()));
+        if (fleet.random.nextInt(3) == 0) {
+            other.wake();
+            other.storeClient.refuses = false;
+        }
+    }
+
+    /** Guards against a limit that is exceeded when hubs fail, and their groups are not counted or counted late. */
+    @Test
+    void limitHoldsInEveryWindowUnderOverloadWhileHubsFail() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            startFleet(24, seed);
+            Deque<Double> window = new ArrayDeque<>();
+            double inWindow = 0;
+            double most = 0;
+            double total = 0;
+            for (int step = 0; step < 1_200; step++) {
+                if (step % 160 == 100) {
+                    fleet.restart(hubIndex());
+                }
+                if (step % 160 == 20) {
+                    fleet.vms.get(hubIndex()).pause();
+                }
+                if (step % 160 == 90) {
+                    fleet.vms.forEach(vm -> {
+                        if (!vm.isRunning()) {
+                            vm.wake();
+                        }
+                    });
+                }
+                double admitted = sendOverload();
+                total += admitted;
+                window.add(admitted);
+                inWindow += admitted;
+                if (window.size() > SimulatedFleet.WINDOW.toMillis() / SimulatedFleet.STEP.toMillis()) {
+                    inWindow -= window.removeFirst();
+                }
+                most = Math.max(most, inWindow);
+                fleet.step();
+            }
+            // 10% and the slack of some long prompts are permitted on top of the limit.
+            assertThat("most in a window with seed " + seed, most, lessThanOrEqualTo(LIMIT * 1.1 + 140_000));
+            double windows = 1_200.0 * SimulatedFleet.STEP.toMillis() / SimulatedFleet.WINDOW.toMillis();
+            assertThat("admitted with seed " + seed, total, greaterThan(LIMIT * windows * 0.6));
+        }
+    }
+
+    /** Sends four times the limit, unevenly over the VMs. */
+    private double sendOverload() {
+        double admitted = 0;
+        double share = SimulatedFleet.STEP.toMillis() / (double) TimeUnit.SECONDS.toMillis(1);
+        List<SimulatedFleet.Vm> running = runningVms();
+        for (double sent = 0; sent < 4 * RATE * share; sent += UNITS) {
+            int index = (int) (running.size() * fleet.random.nextDouble() * fleet.random.nextDouble());
+            SimulatedFleet.Vm vm = running.get(index);
+            RelayWorkspace workspace = Configurations.withTokenLimit(RATE, BURST)
+                    .workspaceOfKey("key")
+                    .orElseThrow();
+            if (vm.limits.admit(workspace, UNITS).isZero()) {
+                admitted += UNITS;
+            }
+        }
+        return admitted;
+    }
+
+    private int hubIndex() {
+        List<Integer> hubs = new ArrayList<>();
+        for (int i = 0; i < fleet.vms.size(); i++) {
+            if (fleet.vms.get(i).isRunning() && fleet.vms.get(i).topology.isHub()) {
+                hubs.add(i);
+            }
+        }
+        return hubs.isEmpty() ? 0 : hubs.get(fleet.random.nextInt(hubs.size()));
+    }
+
+    private boolean allFollowHubs() {
+        return runningVms().stream().allMatch(vm -> vm.topology.isHub() || vm.peerSystem.followsHub());
+    }
+
+    /** Guards against members that wait for a hub that does not come back. */
+    @Test
+    void membersOfLostHubFollowAnotherOneWithinTwoSeconds() {
+        startFleet(24, 1);
+        assertThat("all VMs follow hubs", allFollowHubs());
+        for (int lost = 0; lost < 3; lost++) {
+            fleet.kill(hubIndex());
+            fleet.run(Duration.ofSeconds(2));
+            assertThat("all VMs follow hubs", allFollowHubs());
+        }
+    }
+
+    @Test
+    void membersStayCurrentWhileStoreRefusesThem() {
+        startFleet(24, 2);
+        fleet.vms.stream().filter(vm -> vm.topology.isMember()).forEach(vm -> vm.storeClient.refuses = true);
+        publishVersion(2);
+        publishTargets(5);
+        fleet.run(Duration.ofSeconds(8));
+        for (SimulatedFleet.Vm vm : fleet.vms) {
+            assertThat(vm.operators.configuration().orElseThrow().version(), equalTo(2L));
+            assertThat(vm.operators.age(), lessThan(Duration.ofMillis(3_500)));
+            assertThat(
+                    vm.targetList.listing().orElseThrow().entries(),
+                    equalTo(targets.lastEntry().getValue()));
+        }
+    }
+
+    @Test
+    void hubThatStoreRefusesLearnsFromOtherHubs() {
+        startFleet(24, 3);
+        SimulatedFleet.Vm hub = fleet.vms.get(hubIndex());
+        hub.storeClient.refuses = true;
+        publishVersion(2);
+        fleet.run(Duration.ofSeconds(8));
+        assertThat(hub.operators.configuration().orElseThrow().version(), equalTo(2L));
+    }
+
+    /** Guards against messages and store calls of a VM that increase with the size of the fleet. */
+    @Test
+    void messagesAndStoreCallsOfMemberDoNotIncreaseWithFleet() {
+        long[] messages = new long[2];
+        long[] calls = new long[2];
+        int[] sizes = {24, 72};
+        for (int i = 0; i < sizes.length; i++) {
+            startFleet(sizes[i], 4);
+            long callsBefore = fleet.store.callCount();
+            SimulatedFleet.Vm member = fleet.vms.getLast();
+            long sentBefore = member.messagesSent;
+            fleet.run(Duration.ofSeconds(20));
+            messages[i] = member.messagesSent - sentBefore;
+            calls[i] = fleet.store.callCount() - callsBefore;
+        }
+        assertThat(messages[1], lessThanOrEqualTo(messages[0] * 3 / 2));
+        // Each VM renews its own record and reads the others every 3 s; only these calls increase with the fleet.
+        long ownCalls = 2 * 20 / 3 + 2;
+        assertThat(calls[1] - sizes[1] * ownCalls, lessThanOrEqualTo((calls[0] - sizes[0] * ownCalls) * 3 / 2));
+    }
+}
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -90,10 +90,10 @@
     private final ManualClock clock = new ManualClock();
     private final ManualControlExecutor control = new ManualControlExecutor();
     private final FakeSharedStore store = new FakeSharedStore(clock);
-    private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
+    private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, () -> false);
     private final TargetDirectory directory = new TargetDirectory(clock);
     private final CrashSuspects crashSuspects = new CrashSuspects(clock);
-    private final PeerReportTable peerReports = new PeerReportTable(clock);
+    private final PeerReportTable peerReports = new PeerReportTable(clock, Duration.ofSeconds(8));
     private final Queue<ScriptedResponse> scriptedResponses = new ConcurrentLinkedQueue<>();
     private final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
     private final HttpClient httpClient = HttpClients.start("test", closer);
--- a/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
@@ -21,7 +21,7 @@
     private final ManualClock clock = new ManualClock();
     private final ManualControlExecutor control = new ManualControlExecutor();
     private final FakeSharedStore store = new FakeSharedStore(clock);
-    private final OperatorStateSystem system = new OperatorStateSystem(store, control, clock);
+    private final OperatorStateSystem system = new OperatorStateSystem(store, control, clock, () -> false);
 
     private void runTick() {
         system.tick();
@@ -148,4 +148,43 @@
         assertThat(desired == null ? -1 : desired.asOf(Duration.ofSeconds(6).toNanos()), equalTo(4L));
         assertThat(desired == null ? 0 : desired.asOf(-1), equalTo(0L));
     }
+
+    private OperatorStateSystem member() {
+        return new OperatorStateSystem(store, control, clock, () -> true);
+    }
+
+    /** Guards against the calls of every VM that a watch by few VMs is to replace. */
+    @Test
+    void memberDoesNotCallTheStoreWhileItsHubIsCurrent() {
+        publish(1);
+        OperatorStateSystem member = member();
+        member.tick();
+        control.runAll();
+        int calls = store.callCount();
+        for (int i = 0; i < 40; i++) {
+            clock.advance(Duration.ofMillis(250));
+            member.learn(
+                    new OperatorState(2, null, Map.of()),
+                    clock.nanos() - Duration.ofSeconds(1).toNanos());
+            member.tick();
+            control.runAll();
+        }
+        assertThat(store.callCount(), equalTo(calls));
+        clock.advance(OperatorStateSystem.MAX_PEER_AGE);
+        member.tick();
+        assertThat("without a hub it reads by itself", store.callCount(), equalTo(calls + 1));
+    }
+
+    @Test
+    void stateOfHubIsAdoptedWithItsAgeUnlessItIsOlder() {
+        OperatorStateSystem member = member();
+        clock.advance(Duration.ofSeconds(10));
+        long asOfNanos = clock.nanos() - Duration.ofSeconds(2).toNanos();
+        member.learn(new OperatorState(5, Configurations.withVersion(4), Map.of("m", 2L)), asOfNanos);
+        assertThat(member.age(), equalTo(Duration.ofSeconds(2)));
+        member.learn(new OperatorState(4, Configurations.withVersion(3), Map.of("m", 1L)), asOfNanos - 1);
+        assertThat(member.age(), equalTo(Duration.ofSeconds(2)));
+        assertThat(member.configuration().orElseThrow().version(), equalTo(4L));
+        assertThat(member.snapshot().orElseThrow().state().weights(), equalTo(Map.of("m", 2L)));
+    }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
@@ -24,7 +24,7 @@
 class PoolTargetSelectorTests {
 
     private final ManualClock clock = new ManualClock();
-    private final PeerReportTable peers = new PeerReportTable(clock);
+    private final PeerReportTable peers = new PeerReportTable(clock, Duration.ofSeconds(8));
     private final PoolTargetSelector selector = new PoolTargetSelector(new Random(3), peers);
     private final List<LiveTarget> engines = new ArrayList<>();
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/Configurations.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/Configurations.java
@@ -24,8 +24,19 @@
 
     /** Returns a configuration with one workspace {@code w} that has a token limit. */
     public static RelayConfiguration withTokenLimit(double ratePerSecond, double burst) {
+        return withTokenLimit(1, ratePerSecond, burst);
+    }
+
+    /** Returns a version of the configuration with one workspace {@code w} that has a token limit. */
+    public static RelayConfiguration withTokenLimit(long version, double ratePerSecond, double burst) {
         RelayWorkspace workspace = new RelayWorkspace("w", 0, false, true, 200, ratePerSecond, burst);
         return new RelayConfiguration(
-                1, List.of(), Map.of(), Map.of("w", workspace), Map.of("key", "w"), List.of(), CallerLimits.DEFAULT);
+                version,
+                List.of(),
+                Map.of(),
+                Map.of("w", workspace),
+                Map.of("key", "w"),
+                List.of(),
+                CallerLimits.DEFAULT);
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
@@ -81,9 +82,9 @@
     /** A VM with its rollout and its connection to the engines, which can delay orders and lose their responses. */
     private final class Vm implements EngineControl {
         private final String name;
-        private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock);
+        private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, () -> false);
         private final TargetDirectory directory = new TargetDirectory(clock);
-        private final PeerReportTable peers = new PeerReportTable(clock);
+        private final PeerReportTable peers = new PeerReportTable(clock, Duration.ofSeconds(8));
         private final RolloutSystem rollout;
         private final Random random = new Random(5);
         private boolean paused;
@@ -101,6 +102,7 @@
                     clock,
                     new Random(vms.size()),
                     peers,
+                    () -> true,
                     name,
                     MIN_HANDOVER_INTERVAL);
         }
@@ -262,7 +264,10 @@
                         Map.of(),
                         from.rollout.issuesOrders(),
                         from.rollout.recentlyLoaded(),
-                        CrashReport.EMPTY);
+                        CrashReport.EMPTY,
+                        Map.of(),
+                        Set.of(from.name),
+                        Map.of());
                 vms.stream().filter(to -> to != from).forEach(to -> to.peers.update(report));
             }
             run(TICK);
--- a/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonHttpClient.java
@@ -1,8 +1,8 @@
 package dev.bluebellshunt.transport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
@@ -49,7 +49,7 @@
      * @return a new mapper
      */
     public static ObjectMapper newMapper() {
-        return new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        return Json.mapper().copy();
     }
 
     /**
