Look for the end of the caller's connection before a request is sent

Change: the watcher reads once by itself, and only then waits for the selector.

Measured: CallerDisconnectWatcherTests, 2 of 3 failed before; RelayHandlerTests and RelayDaemonTests pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerDisconnectWatcher.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerDisconnectWatcher.java
@@ -29,8 +29,15 @@
         this.onDisconnect = onDisconnect;
     }
 
-    synchronized void register() {
-        registered = endPoint.tryFillInterested(this);
+    /**
+     * Starts watching. A caller that has left already is noticed before this method returns, since the selector may be late
+     * and the request would be sent to a target meanwhile.
+     */
+    void register() {
+        synchronized (this) {
+            registered = true;
+        }
+        succeeded();
     }
 
     synchronized void deregister() {
@@ -70,7 +77,7 @@
                 return false;
             }
             if (filled == 0) {
-                register();
+                registered = endPoint.tryFillInterested(this);
                 return false;
             }
         } catch (java.io.IOException e) {
