Send cached prefixes of idle VMs, and count silent VMs also without limits

Cause: a VM took the updates from its index before it found that it was idle and sent no report, so they were lost; found by reading. Also: a listing marked as unchanged was adopted although the last one came from another hub; a hub with no limited workspace reported no silent VM; sums were formed twice for each report. Change: updates are taken when they are sent; the process is compared; one count of silent VMs; one pass.

Measured: HubFleetTests#prefixesOfIdleVmReachAllVms fails before, passes after, with the other tests of the package.

--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -37,7 +37,7 @@
     private final PeerReportTable peers;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Deadline retrySharingStart;
-    private final Map<String, PoolRetries> retries = new ConcurrentHashMap<>();
+    private final Map<String, PoolRetries> retriesByPool = new ConcurrentHashMap<>();
     private volatile Map<String, Map<String, Double>> peerShares = Map.of();
     private volatile Reservations reservations = new Reservations(PeerAdmissions.NONE, Map.of(), Map.of());
     private volatile Map<String, Double> demandBeforeRestart = Map.of();
@@ -62,9 +62,9 @@
     private record Reservations(
             PeerAdmissions basis, Map<String, Map<String, Double>> shares, Map<String, Reservation> byWorkspace) {}
 
-    private record Reservation(double units, int silentVms) {
+    private record Reservation(double units, boolean anySilent) {
 
-        private static final Reservation NONE = new Reservation(0, 0);
+        private static final Reservation NONE = new Reservation(0, false);
     }
 
     /**
@@ -107,7 +107,7 @@
             newPeerShares.put(workspace.name(), shares);
         }
         peerShares = newPeerShares;
-        retries.values().forEach(pool -> pool.resize(vmCount));
+        retriesByPool.values().forEach(pool -> pool.resize(vmCount));
     }
 
     /**
@@ -141,7 +141,7 @@
     }
 
     private PoolRetries retries(String pool) {
-        return retries.computeIfAbsent(pool, p -> new PoolRetries(clock, bounds, retrySharingStart, vmCount));
+        return retriesByPool.computeIfAbsent(pool, p -> new PoolRetries(clock, bounds, retrySharingStart, vmCount));
     }
 
     /**
@@ -165,13 +165,13 @@
                 limit - reservation.units(),
                 peerAdmissions.reported().getOrDefault(workspace.name(), 0.0),
                 peerAdmissions.estimate(workspace.name(), clock.nanos()),
-                OVERSIZED_FREE_FRACTION * (reservation.silentVms() > 0 ? own : limit));
+                OVERSIZED_FREE_FRACTION * (reservation.anySilent() ? own : limit));
     }
 
     private Reservation reservation(String workspace, PeerAdmissions peerAdmissions) {
         PeerAdmissions.HubReservations byHub = peerAdmissions.hubReservations();
         if (byHub != null) {
-            return new Reservation(byHub.units().getOrDefault(workspace, 0.0), byHub.silentVms());
+            return new Reservation(byHub.units().getOrDefault(workspace, 0.0), byHub.silentVms() > 0);
         }
         return reservations(peerAdmissions).byWorkspace().getOrDefault(workspace, Reservation.NONE);
     }
@@ -198,7 +198,7 @@
     private static Reservation reserve(String workspace, Map<String, Double> shares, PeerAdmissions peerAdmissions) {
         Map<String, Double> silentShares = new HashMap<>(shares);
         silentShares.keySet().removeAll(peerAdmissions.reportingVms());
-        int silentVms = silentShares.size();
+        boolean anySilent = !silentShares.isEmpty();
         double reserved = 0;
         for (PeerAdmissions.SilentGroup group : peerAdmissions.silent()) {
             Set<String> vms = group.vms().isEmpty() ? Set.copyOf(silentShares.keySet()) : group.vms();
@@ -218,7 +218,7 @@
         for (double share : silentShares.values()) {
             reserved += share;
         }
-        return new Reservation(reserved, silentVms);
+        return new Reservation(reserved, anySilent);
     }
 
     /**
@@ -227,16 +227,21 @@
      * @return the reservations of all limited workspaces
      */
     public PeerAdmissions.HubReservations hubReservations() {
+        PeerAdmissions current = peers.admissions();
         Map<String, Double> units = new HashMap<>();
-        int silentVms = 0;
-        for (Map.Entry<String, Reservation> reservation :
-                reservations(peers.admissions()).byWorkspace().entrySet()) {
-            silentVms = Math.max(silentVms, reservation.getValue().silentVms());
-            if (reservation.getValue().units() > 0) {
-                units.put(reservation.getKey(), reservation.getValue().units());
+        reservations(current).byWorkspace().forEach((workspace, reservation) -> {
+            if (reservation.units() > 0) {
+                units.put(workspace, reservation.units());
             }
-        }
-        return new PeerAdmissions.HubReservations(units, silentVms);
+        });
+        return new PeerAdmissions.HubReservations(units, silentVms(current));
+    }
+
+    private int silentVms(PeerAdmissions current) {
+        PeerAdmissions.HubReservations byHub = current.hubReservations();
+        return byHub == null
+                ? Math.max(0, vmCount - 1 - current.reportingVms().size())
+                : Math.min(vmCount, byHub.silentVms());
     }
 
     private double windowLimit(RelayWorkspace workspace) {
@@ -307,7 +312,7 @@
      */
     public Map<String, RetryUsage> retryUsage() {
         Map<String, RetryUsage> usage = new HashMap<>();
-        retries.forEach((pool, poolRetries) -> usage.put(pool, poolRetries.usage()));
+        retriesByPool.forEach((pool, poolRetries) -> usage.put(pool, poolRetries.usage()));
         return usage;
     }
 
@@ -319,12 +324,9 @@
      */
     public boolean tryAcquireRetry(String pool) {
         PeerAdmissions current = peers.admissions();
-        PeerAdmissions.HubReservations byHub = current.hubReservations();
-        int silentVms =
-                byHub == null ? Math.max(0, vmCount - 1 - current.reportingVms().size()) : byHub.silentVms();
         return retries(pool)
                 .tryAcquire(new PoolRetries.PeerUsage(
-                        current.retries().getOrDefault(pool, RetryUsage.NONE), vmCount, Math.min(vmCount, silentVms)));
+                        current.retries().getOrDefault(pool, RetryUsage.NONE), vmCount, silentVms(current)));
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
@@ -70,4 +70,26 @@
                 Set.of(vm),
                 Map.of());
     }
+
+    /**
+     * Returns this report with prompt segments.
+     *
+     * @param newPrefixes the prompt segments that engines have processed, by cache domain and engine
+     * @return the report with these segments in place of its own
+     */
+    PeerReport withPrefixes(Map<String, Map<String, List<String>>> newPrefixes) {
+        return new PeerReport(
+                vm,
+                sequence,
+                uses,
+                admitted,
+                newPrefixes,
+                givesOrders,
+                loaded,
+                crashes,
+                admissionRates,
+                retries,
+                vms,
+                silent);
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
@@ -39,7 +39,7 @@
     private volatile Map<String, InFlightLoad> totals = Map.of();
     private volatile boolean peersIssueOrders;
     private volatile PeerAdmissions admissions = PeerAdmissions.NONE;
-    private volatile Deadline admissionsExpiry;
+    private volatile Deadline aggregationExpiry;
 
     private record Received(PeerReport report, long nanos) {
 
@@ -57,7 +57,7 @@
     public PeerReportTable(MonotonicClock clock, Duration admissionWindow) {
         this.clock = clock;
         this.admissionWindow = admissionWindow;
-        this.admissionsExpiry = new Deadline(clock.nanos());
+        this.aggregationExpiry = new Deadline(clock.nanos());
     }
 
     /**
@@ -141,19 +141,6 @@
         if (current != null && isDigestFresh()) {
             totals = current.uses();
             peersIssueOrders = current.givesOrders();
-        } else {
-            Sums sums = new Sums(clock.nanos());
-            freshReports().forEach(sums::add);
-            totals = sums.uses;
-            peersIssueOrders = sums.givesOrders;
-        }
-        aggregateAdmissions();
-    }
-
-    private void aggregateAdmissions() {
-        long now = clock.nanos();
-        FleetDigest current = digest;
-        if (current != null && isDigestFresh()) {
             admissions = new PeerAdmissions(
                     current.admitted(),
                     current.admissionRates(),
@@ -162,17 +149,18 @@
                     Set.of(),
                     List.of(),
                     new HubReservations(current.reserved(), current.silentVms()));
-            admissionsExpiry = new Deadline(digestNanos + REPORT_TTL.toNanos());
+            aggregationExpiry = new Deadline(digestNanos + REPORT_TTL.toNanos());
             return;
         }
+        long now = clock.nanos();
         Sums sums = new Sums(now);
         List<PeerAdmissions.SilentGroup> silent = new ArrayList<>();
-        long expiry = now + REPORT_TTL.toNanos();
+        Deadline expiry = Deadline.after(clock, REPORT_TTL);
         for (Map<String, Received> reports : List.of(groups, members)) {
             for (Received received : reports.values()) {
                 if (isFresh(received)) {
                     sums.add(received);
-                    expiry = Math.min(expiry, received.expiry().atNanos());
+                    expiry = expiry.earlier(received.expiry());
                 } else if (now - received.nanos() < admissionWindow.toNanos()) {
                     silent.add(new PeerAdmissions.SilentGroup(
                             received.report().vms(), received.report().admitted()));
@@ -183,8 +171,10 @@
         if (current != null && now - digestNanos < admissionWindow.toNanos()) {
             silent.add(new PeerAdmissions.SilentGroup(Set.of(), add(current.admitted(), current.reserved())));
         }
+        totals = sums.uses;
+        peersIssueOrders = sums.givesOrders;
         admissions = new PeerAdmissions(sums.admitted, sums.rates, sums.retries, now, sums.vms, silent, null);
-        admissionsExpiry = new Deadline(expiry);
+        aggregationExpiry = expiry;
     }
 
     private static Map<String, Double> add(Map<String, Double> first, Map<String, Double> second) {
@@ -218,9 +208,9 @@
      * @return an immutable view, the same one until it changes
      */
     public PeerAdmissions admissions() {
-        if (admissionsExpiry.hasPassed(clock)) {
+        if (aggregationExpiry.hasPassed(clock)) {
             synchronized (this) {
-                aggregateAdmissions();
+                aggregate();
             }
         }
         return admissions;
@@ -229,10 +219,9 @@
     /**
      * Sums up this hub and its group for the other hubs.
      *
-     * @param prefixes the prompt segments to report, of this VM and of its group
-     * @return the report
+     * @return the report, without prompt segments
      */
-    public synchronized PeerReport groupReport(Map<String, Map<String, List<String>>> prefixes) {
+    public synchronized PeerReport groupReport() {
         Received ownReport = Objects.requireNonNull(own, "no report of this VM");
         Set<String> reportedElsewhere = new HashSet<>();
         groups.values().stream()
@@ -253,7 +242,7 @@
                 ownReport.report().sequence(),
                 sums.uses,
                 round(sums.admitted),
-                prefixes,
+                Map.of(),
                 sums.givesOrders,
                 List.copyOf(sums.loaded),
                 sums.crashes(),
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -156,7 +156,7 @@
         PeerReport own = ownReport();
         peerReports.updateOwn(own);
         if (isHub) {
-            reportToHubs(topology.hubAddresses(), own);
+            reportToHubs(topology.hubAddresses());
         } else {
             reportToOneHub(topology.hubAddresses(), own);
         }
@@ -173,7 +173,7 @@
                 ++sequence,
                 localLoad(),
                 limits.admitted(),
-                engineCacheIndex.drainUpdates(),
+                Map.of(),
                 rolloutStatus.issuesOrders(),
                 rolloutStatus.recentlyLoaded(),
                 crashSuspects.recentReport(CRASH_REPORT_WINDOW),
@@ -196,15 +196,16 @@
         return localLoad;
     }
 
-    private void reportToHubs(List<String> hubs, PeerReport own) {
+    private void reportToHubs(List<String> hubs) {
         currentHub = "";
-        receiver.prefixUpdates().add(vm, own.prefixes(), true);
-        PeerReport group = peerReports.groupReport(receiver.prefixUpdates().drainUnreported());
+        receiver.prefixUpdates().add(vm, engineCacheIndex.drainUpdates(), true);
+        PeerReport group = peerReports.groupReport();
         if (skipsIdleReport(group, TICKS_PER_IDLE_REPORT)) {
             return;
         }
+        PeerReport report = group.withPrefixes(receiver.prefixUpdates().drainUnreported());
         boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0;
-        ReportMessage message = new ReportMessage(group, false, wantsState, configurationVersion(), "", 0, 0, 0);
+        ReportMessage message = new ReportMessage(report, false, wantsState, configurationVersion(), "", 0, 0, 0);
         hubs.forEach(hub -> send(hub, message));
     }
 
@@ -231,13 +232,13 @@
                     .findFirst()
                     .orElse("");
         }
-        if (currentHub.isEmpty()) {
+        if (currentHub.isEmpty() || pendingAddresses.contains(currentHub)) {
             return;
         }
         send(
                 currentHub,
                 new ReportMessage(
-                        own,
+                        own.withPrefixes(engineCacheIndex.drainUpdates()),
                         true,
                         true,
                         configurationVersion(),
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -140,7 +140,7 @@
         }
         List<TargetEntry> adopted = entries;
         if (adopted == null) {
-            if (previous == null || learned == null) {
+            if (previous == null || learned == null || !learned.process().equals(process)) {
                 return;
             }
             adopted = previous.entries();
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.testing.Configurations;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -303,6 +304,27 @@
         }
     }
 
+    /** Guards against updates that are taken from the index and lost when an idle VM sends no report. */
+    @Test
+    void prefixesOfIdleVmReachAllVms() {
+        startFleet(24, 7);
+        for (int i = 0; i < fleet.vms.size(); i++) {
+            fleet.vms.get(i).engineCacheIndex.recordCached("t-0", "domain", List.of("segment-" + i));
+            fleet.run(Duration.ofMillis(100));
+        }
+        fleet.run(Duration.ofSeconds(3));
+        List<LiveTarget> pool = fleet.vms.getFirst().directory.snapshot().pool("apps");
+        for (SimulatedFleet.Vm vm : fleet.vms) {
+            for (int i = 0; i < fleet.vms.size(); i++) {
+                assertThat(
+                        "segment of vm-" + i + " at " + vm.name,
+                        vm.engineCacheIndex
+                                .findSource(pool, pool.get(1), "domain", List.of("segment-" + i))
+                                .isPresent());
+            }
+        }
+    }
+
     @Test
     void membersStayCurrentWhileStoreRefusesThem() {
         startFleet(24, 2);
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTableTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTableTests.java
@@ -62,7 +62,7 @@
         hub.updateOwn(report("hub", 1, 0));
         hub.updateMember(report("a", 10, 0));
         hub.update(report("other-hub", 1_000, 0));
-        PeerReport group = hub.groupReport(Map.of());
+        PeerReport group = hub.groupReport();
         assertThat(group.admitted().get("w"), equalTo(11.0));
         assertThat(group.vms(), containsInAnyOrder("hub", "a"));
     }
@@ -72,7 +72,7 @@
         hub.updateOwn(report("hub", 0, 0));
         hub.updateMember(report("a", 1_000, 400));
         clock.advance(Duration.ofMillis(500));
-        assertThat(hub.groupReport(Map.of()).admitted().get("w"), equalTo(1_200.0));
+        assertThat(hub.groupReport().admitted().get("w"), equalTo(1_200.0));
         assertThat(hub.admissions().estimate("w", clock.nanos()), closeTo(1_200, 1e-6));
     }
 
@@ -83,12 +83,12 @@
         hub.updateMember(report("a", 1_000, 0));
         clock.advance(PeerReportTable.REPORT_TTL);
         hub.expireReports();
-        PeerReport group = hub.groupReport(Map.of());
+        PeerReport group = hub.groupReport();
         assertThat(group.vms(), containsInAnyOrder("hub"));
         assertThat(group.silent(), equalTo(Map.of("a", Map.of("w", 1_000.0))));
         clock.advance(WINDOW);
         hub.expireReports();
-        assertThat(hub.groupReport(Map.of()).silent(), aMapWithSize(0));
+        assertThat(hub.groupReport().silent(), aMapWithSize(0));
     }
 
     @Test
@@ -110,7 +110,7 @@
                 Set.of("other-hub", "a"),
                 Map.of());
         hub.update(otherGroup);
-        assertThat(hub.groupReport(Map.of()).silent(), aMapWithSize(0));
+        assertThat(hub.groupReport().silent(), aMapWithSize(0));
     }
 
     /** Guards against an answer that was under way for a second and then counts as new. */
