Tell members of outages of the store by a count, not by a flag on one listing

Cause: a hub marked the first listing after an outage. A member that was told of the next one only dropped the targets that the store still lacked, and let their crashes be cleared, as if there had been no outage; found by reading. Change: listings carry the number of outages that the hub has seen.

--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -285,7 +285,7 @@
                     targets.listing(),
                     targets.entries(),
                     askedNanos - TimeUnit.MILLISECONDS.toNanos(targets.ageMillis()),
-                    targets.afterOutage());
+                    targets.outages());
         }
         FleetDigest digest = reply.digest();
         if (digest != null) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
@@ -134,7 +134,7 @@
                 listing.number(),
                 knownListing >= listing.entriesNumber() ? null : listing.entries(),
                 ageMillis(listing.asOfNanos()),
-                listing.afterOutage());
+                listing.outages());
     }
 
     /** Returns the age in milliseconds, rounded up. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -30,6 +30,7 @@
     private final Duration maxPeerAge;
     private boolean readPending;
     private boolean storeFailed;
+    private long outages;
     private @Nullable LearnedListing learned;
     private volatile @Nullable Listing listing;
 
@@ -40,12 +41,11 @@
      * @param entriesNumber the number of the first listing with these entries
      * @param entries all entries in the store
      * @param asOfNanos the time as of which the listing was current
-     * @param afterOutage whether it is the first one after the store did not answer
+     * @param outages the number of times that the store did not answer before it, since the start of this process
      */
-    public record Listing(
-            long number, long entriesNumber, List<TargetEntry> entries, long asOfNanos, boolean afterOutage) {}
+    public record Listing(long number, long entriesNumber, List<TargetEntry> entries, long asOfNanos, long outages) {}
 
-    private record LearnedListing(String process, long number) {}
+    private record LearnedListing(String process, long number, long outages) {}
 
     /**
      * Creates a system that reads for the first time at its first tick.
@@ -93,8 +93,9 @@
                 entries -> {
                     readPending = false;
                     learned = null;
-                    update(entries, sentNanos, storeFailed);
+                    outages += storeFailed ? 1 : 0;
                     storeFailed = false;
+                    update(entries, sentNanos);
                 },
                 failure -> {
                     readPending = false;
@@ -112,12 +113,12 @@
                 && clock.nanos() - latest.asOfNanos() < maxPeerAge.toNanos();
     }
 
-    private void update(List<TargetEntry> entries, long asOfNanos, boolean afterOutage) {
+    private void update(List<TargetEntry> entries, long asOfNanos) {
         Listing previous = listing;
         long number = previous == null ? 1 : previous.number() + 1;
         long entriesNumber =
                 previous == null || !previous.entries().equals(entries) ? number : previous.entriesNumber();
-        listing = new Listing(number, entriesNumber, List.copyOf(entries), asOfNanos, afterOutage);
+        listing = new Listing(number, entriesNumber, List.copyOf(entries), asOfNanos, outages);
         directory.update(entries);
         registrations.update(entries, asOfNanos);
     }
@@ -129,28 +130,30 @@
      * @param number the number of the listing in that process
      * @param entries the entries, or null if they are those of the listing that was last adopted
      * @param asOfNanos the time as of which the listing was current, on the clock of this VM
-     * @param afterOutage whether it is the first one after the store did not answer
+     * @param peerOutages the number of outages of the store before the listing, as counted by that process
      */
     public void learn(
-            String process, long number, @Nullable List<TargetEntry> entries, long asOfNanos, boolean afterOutage) {
+            String process, long number, @Nullable List<TargetEntry> entries, long asOfNanos, long peerOutages) {
         Listing previous = listing;
-        LearnedListing id = new LearnedListing(process, number);
-        if (id.equals(learned) || (previous != null && asOfNanos - previous.asOfNanos() <= 0)) {
+        LearnedListing last = learned != null && learned.process().equals(process) ? learned : null;
+        boolean known = last != null && last.number() == number;
+        if (known || (previous != null && asOfNanos - previous.asOfNanos() <= 0)) {
             return;
         }
         List<TargetEntry> adopted = entries;
         if (adopted == null) {
-            if (previous == null || learned == null || !learned.process().equals(process)) {
+            if (previous == null || last == null) {
                 return;
             }
             adopted = previous.entries();
         }
-        learned = id;
-        if (afterOutage) {
+        if (last != null && last.outages() != peerOutages) {
+            outages++;
             directory.recordStoreFailure();
             registrations.recordStoreFailure();
         }
-        update(adopted, asOfNanos, afterOutage);
+        learned = new LearnedListing(process, number, peerOutages);
+        update(adopted, asOfNanos);
     }
 
     /**
