Log when crashes of targets are counted and cleared, and why a missing target is kept

Change: lines crash_recorded and crash_cleared, a counter of both, a line for each clearing by an entry that is still registered, and lines for a listing that fails, comes back, or lacks a target that is kept. Measured: no logic changed; the tests of core and relay that concern these classes pass.

--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -135,12 +135,11 @@
      * Records that a request received a complete response, which clears the crashes recorded against it.
      *
      * @param fingerprint the request's fingerprint
+     * @return the names of the targets whose crashes were cleared
      */
-    public synchronized void recordCompletion(long fingerprint) {
+    public synchronized Set<String> recordCompletion(long fingerprint) {
         Entry entry = entries.get(fingerprint);
-        if (entry != null) {
-            entry.clear(target -> true, clock.nanos());
-        }
+        return entry == null ? Set.of() : entry.clear(target -> true, clock.nanos());
     }
 
     /**
@@ -148,11 +147,15 @@
      *
      * @param targets the targets' names
      * @param asOfNanos the clock reading at which the targets were still running
+     * @return the names of the targets whose crashes were cleared
      */
-    public synchronized void recordAlive(Set<String> targets, long asOfNanos) {
+    public synchronized Set<String> recordAlive(Set<String> targets, long asOfNanos) {
+        Set<String> cleared = new HashSet<>();
         for (Entry entry : entries.values()) {
-            entry.clear(target -> targets.contains(target) && entry.crashedBefore(target, asOfNanos), clock.nanos());
+            cleared.addAll(entry.clear(
+                    target -> targets.contains(target) && entry.crashedBefore(target, asOfNanos), clock.nanos()));
         }
+        return cleared;
     }
 
     /**
@@ -314,11 +317,14 @@
             clearedNanos = neverNanos;
         }
 
-        private void clear(Predicate<String> targets, long now) {
-            crashes.keySet().stream().filter(targets).forEach(cleared::add);
-            if (crashes.keySet().removeAll(cleared)) {
+        private Set<String> clear(Predicate<String> targets, long now) {
+            Set<String> removed = crashes.keySet().stream().filter(targets).collect(Collectors.toSet());
+            if (!removed.isEmpty()) {
+                cleared.addAll(removed);
+                crashes.keySet().removeAll(removed);
                 clearedNanos = now;
             }
+            return removed;
         }
 
         private boolean crashedBefore(String target, long nanos) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -201,8 +201,26 @@
     }
 
     private void recordCompletion() {
-        if (!context.crashSuspects().isEmpty()) {
-            context.crashSuspects().recordCompletion(caller.fingerprint());
+        if (context.crashSuspects().isEmpty()) {
+            return;
+        }
+        Set<String> cleared = context.crashSuspects().recordCompletion(caller.fingerprint());
+        if (!cleared.isEmpty()) {
+            context.metrics().crash("cleared_by_response");
+            context.decisionLog()
+                    .write(
+                            "crash_cleared",
+                            requestId(),
+                            "fingerprint",
+                            Long.toHexString(caller.fingerprint()),
+                            "target",
+                            lastTarget,
+                            "target_born_ms",
+                            lastTargetBornMillis,
+                            "result",
+                            result,
+                            "cleared_targets",
+                            cleared);
         }
     }
 
@@ -213,6 +231,19 @@
                         target.entry().incarnation().name(),
                         target.entry().failureDomain(),
                         Set.of(caller.fingerprint()));
+        context.metrics().crash("recorded");
+        context.decisionLog()
+                .write(
+                        "crash_recorded",
+                        requestId(),
+                        "fingerprint",
+                        Long.toHexString(caller.fingerprint()),
+                        "target",
+                        lastTarget,
+                        "target_born_ms",
+                        lastTargetBornMillis,
+                        "crashed_targets",
+                        context.crashSuspects().crashedTargets(caller.fingerprint()));
     }
 
     private PoolTargetSelector.Request targetRequirements() {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/RegistrationMonitor.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/RegistrationMonitor.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Clears crashes that were recorded for targets that are still running, because only a connection was lost.
@@ -16,6 +18,8 @@
  */
 final class RegistrationMonitor {
 
+    private static final Logger log = LoggerFactory.getLogger("quarantine");
+
     /** Added to the lifetime of an entry; covers outages of the store between two reads. */
     static final Duration OUTAGE_MARGIN = Duration.ofSeconds(2);
 
@@ -46,7 +50,10 @@
         }
         Set<String> running =
                 listing.stream().map(entry -> entry.incarnation().name()).collect(Collectors.toSet());
-        crashSuspects.recordAlive(running, runningNanos);
+        Set<String> cleared = crashSuspects.recordAlive(running, runningNanos);
+        if (!cleared.isEmpty()) {
+            log.info("Crashes of {} are cleared: the targets are still registered.", cleared);
+        }
     }
 
     /** Processes a failed read. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -80,6 +80,11 @@
         previous.forEach((incarnation, target) -> {
             if (keepMissing && !isReplaced(target.entry(), listing)) {
                 targets.put(incarnation, target);
+                log.info(
+                        "Target {} of pool {} is not registered, but kept for {} ms more after an outage.",
+                        incarnation.id(),
+                        target.entry().pool(),
+                        graceDeadline.remaining(clock).toMillis());
             } else {
                 log.info(
                         "Target {} of pool {} is no longer registered.",
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -93,19 +94,32 @@
                 entries -> {
                     readPending = false;
                     learned = null;
-                    outages += storeFailed ? 1 : 0;
-                    storeFailed = false;
+                    if (storeFailed) {
+                        outages++;
+                        storeFailed = false;
+                        log.info(
+                                "The store has returned the registered targets again, {} ms after the last listing.",
+                                millisSinceListing(sentNanos));
+                    }
                     update(entries, sentNanos);
                 },
                 failure -> {
                     readPending = false;
-                    storeFailed = true;
+                    if (!storeFailed) {
+                        storeFailed = true;
+                        log.info("The store does not return the registered targets: {}", failure.toString());
+                    }
                     directory.recordStoreFailure();
                     registrations.recordStoreFailure();
                     log.debug("Failed to read the registered targets: {}", failure.toString());
                 });
     }
 
+    private long millisSinceListing(long nanos) {
+        Listing latest = listing;
+        return latest == null ? 0 : TimeUnit.NANOSECONDS.toMillis(nanos - latest.asOfNanos());
+    }
+
     private boolean followsPeer() {
         Listing latest = listing;
         return latest != null
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -30,6 +30,11 @@
             .help("Complete responses of targets by framing.")
             .labelNames("framing")
             .register(registry);
+    private final Counter crashes = Counter.builder()
+            .name("bluebellshunt_relay_target_crashes_total")
+            .help("Crashes of targets by requests, as observed by this VM, and requests whose crashes were cleared.")
+            .labelNames("event")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("bluebellshunt_relay_first_byte_seconds")
             .help("Time from the arrival of a request to the first byte of its answer.")
@@ -74,6 +79,15 @@
         responseEnds.labelValues(framing).inc();
     }
 
+    /**
+     * Counts a crash that was recorded against a request, or cleared.
+     *
+     * @param event what happened, from a fixed set
+     */
+    public void crash(String event) {
+        crashes.labelValues(event).inc();
+    }
+
     /**
      * Records the time to the first byte of a response.
      *
