Reproduce BUDGET and DRAIN in tests that fail on the current code

BUDGET: what takes a crash of a target back is no proof (an error response, a response without framing, an entry that is still registered). DRAIN: VMs that the store refused for a while keep targets that have left.

--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -58,6 +58,8 @@
     /** Limits the duration of a test that hangs. */
     private static final long WAIT_SECONDS = 20;
 
+    private static final Duration ENTRY_LIFETIME = Duration.ofSeconds(3);
+
     private static final String QUARANTINES = "bluebellshunt/quarantine/";
 
     /** Reads of the quarantines by a VM that has started. */
@@ -156,7 +158,7 @@
                 Duration.ofSeconds(8),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(3),
+                ENTRY_LIFETIME,
                 Duration.ofSeconds(8));
         EngineControl noEngines = new EngineControl() {
             @Override
@@ -318,6 +320,31 @@
         assertThat(get(restarted).getStatus(), equalTo(200));
     }
 
+    /**
+     * Guards against a request that crashes targets and is sent on, because the entry of a crashed target stays in the store: its
+     * last write may be carried out late, and leases may pause.
+     */
+    @Test
+    void entryThatOutlivesItsTargetDoesNotClearCrash() {
+        RelayDaemon daemon = start("vm-1");
+        for (int crash = 1; crash <= 2; crash++) {
+            registerTarget(crash);
+            awaitTarget(daemon, crash);
+            assertThat(send(request(daemon, "/open/deadly")).getStatus(), equalTo(502));
+        }
+        long later = nanos.get() + ENTRY_LIFETIME.multipliedBy(4).toNanos();
+        await("the entry has outlived the target", () -> {
+            nanos.addAndGet(Duration.ofMillis(10).toNanos());
+            isReady(daemon);
+            return nanos.get() >= later;
+        });
+        awaitCrashes(daemon, 2);
+        registerTarget(3);
+        awaitTarget(daemon, 3);
+        assertThat(send(request(daemon, "/open/deadly")).getStatus(), equalTo(502));
+        assertRejectsDeadlyRequest(daemon);
+    }
+
     @Test
     void drainFinishesOpenRequestsAndRejectsNewOnes() throws Exception {
         RelayDaemon daemon = start();
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -737,6 +737,40 @@
         }
     }
 
+    /** Sends a request that crashes targets, in between with other outcomes, and returns how many targets crashed. */
+    private int countCrashes(ScriptedResponse outcomeOfEveryThirdRepetition) throws Exception {
+        configure();
+        int crashes = 0;
+        for (int repetition = 1; repetition <= 12; repetition++) {
+            scriptedResponses.clear();
+            boolean crash = repetition % 3 != 0;
+            scriptedResponses.add(crash ? closeWithoutResponse() : outcomeOfEveryThirdRepetition);
+            int before = receivedRequests.size();
+            post("/once/deadly", "id-1");
+            crashes += crash ? receivedRequests.size() - before : 0;
+            registerTargets(1 + repetition);
+        }
+        return crashes;
+    }
+
+    /**
+     * Guards against a request that crashes targets and is sent on, because a target that fails part of its requests answers it
+     * with an error in between.
+     */
+    @Test
+    void errorResponseDoesNotClearCrashes() throws Exception {
+        assertThat("crashes", countCrashes(status(500, "t-seal", "target error")), lessThanOrEqualTo(3));
+    }
+
+    /**
+     * Guards against a request that crashes targets and is sent on, because the connection of a crashed target ends a response
+     * without framing, which may be truncated.
+     */
+    @Test
+    void responseWithoutFramingDoesNotClearCrashes() throws Exception {
+        assertThat("crashes", countCrashes(closeAfter("", "some of the bytes")), lessThanOrEqualTo(3));
+    }
+
     @Test
     void responseHeadWithoutEndIsFailureOfTarget() throws Exception {
         configure();
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
@@ -46,6 +46,42 @@
         assertThat(registeredEntries(), contains(first));
     }
 
+    /** Guards against requests to a target that has left, because the grace period of an outage before is not over. */
+    @Test
+    void targetThatWasListedSinceTheOutageIsDroppedOnceMissing() {
+        directory.update(List.of(first, second));
+        directory.recordStoreFailure();
+        clock.advance(Duration.ofSeconds(3));
+        directory.update(List.of(first, second));
+        clock.advance(Duration.ofMillis(100));
+        directory.update(List.of(first));
+        assertThat(registeredEntries(), contains(first));
+    }
+
+    /** Guards against targets that are kept for ever by a store that fails every other time. */
+    @Test
+    void graceIsNotBegunAgainByEachFailure() {
+        directory.update(List.of(first, second));
+        for (int i = 0; i < 12; i++) {
+            directory.recordStoreFailure();
+            clock.advance(Duration.ofMillis(1_200));
+            directory.update(List.of(first));
+            clock.advance(Duration.ofMillis(1_200));
+        }
+        assertThat(registeredEntries(), contains(first));
+    }
+
+    /** Guards against a leaving target that is used again, because an older write of its entry is carried out late. */
+    @Test
+    void targetThatWasLeavingIsNeverReadyAgain() {
+        directory.update(List.of(TestTargets.leaving(first)));
+        directory.update(List.of(first));
+        assertThat(directory.snapshot().acceptsRequests(first.incarnation()), equalTo(false));
+        directory.update(List.of());
+        directory.update(List.of(first));
+        assertThat(directory.snapshot().acceptsRequests(first.incarnation()), equalTo(false));
+    }
+
     @Test
     void leavingTargetIsRecognizedAfterOutage() {
         directory.update(List.of(first));
