Clear the crashes of a request only after a successful response

What callers saw: a request that crashes targets was sent on, while a target that fails part of its requests answered it with an error now and then; others lost their targets for it. Cause: any response that was forwarded whole cleared the crashes recorded against its request, on all VMs, also an error response. A target that fails a request may not have begun to run it. Evidence: RelayHandlerTests#errorResponseDoesNotClearCrashes, 8 crashes in 12 repetitions before, bound 3; passes now. Why it works: only a successful response shows that a target ran the request to its end and survived.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -165,7 +166,6 @@
             }
             retryReserved = false;
             if (attempt(selection.get().target(), route)) {
-                recordCompletion();
                 return;
             }
             boolean mayRetry = possiblyExecutedAttempts == 0
@@ -200,6 +200,7 @@
                 ErrorCode.TARGETS_CRASHED, "Several targets crashed while running the same request.", quarantine);
     }
 
+    /** Clears the crashes of targets under the request, which has run to its end. */
     private void recordCompletion() {
         if (context.crashSuspects().isEmpty()) {
             return;
@@ -217,8 +218,6 @@
                             lastTarget,
                             "target_born_ms",
                             lastTargetBornMillis,
-                            "result",
-                            result,
                             "cleared_targets",
                             cleared);
         }
@@ -475,6 +474,9 @@
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
         recordResponseEnd(body);
+        if (HttpStatus.isSuccess(response.getStatus())) {
+            recordCompletion();
+        }
         return true;
     }
 
