Do not clear the crashes of a request after a response whose end is not marked

What callers saw: a request that crashes targets was sent on, and others lost their targets for it. Cause: a response without length and chunks ends with its connection, also when its target crashes. It was taken for a complete one, and cleared the crashes of its request on all VMs. Why it works: what the target has not vouched for is no proof that the target survived.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -12,7 +12,6 @@
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.transport.ResponseBody;
-import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -474,7 +473,7 @@
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
         recordResponseEnd(body);
-        if (HttpStatus.isSuccess(response.getStatus())) {
+        if (HttpStatus.isSuccess(response.getStatus()) && body.framing().marksEnd()) {
             recordCompletion();
         }
         return true;
@@ -482,7 +481,7 @@
 
     private void recordResponseEnd(ResponseBody body) {
         context.metrics().responseEnd(body.framing().label());
-        if (body.framing() != ResponseFraming.CONNECTION_CLOSE) {
+        if (body.framing().marksEnd()) {
             return;
         }
         context.decisionLog()
--- a/transport/src/main/java/dev/bluebellshunt/transport/ResponseFraming.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseFraming.java
@@ -36,6 +36,15 @@
         return response.getHeaders().contains(HttpHeader.CONTENT_LENGTH) ? LENGTH : CONNECTION_CLOSE;
     }
 
+    /**
+     * Returns whether the end of a complete response differs from that of a truncated one.
+     *
+     * @return false if both end with the connection
+     */
+    public boolean marksEnd() {
+        return this != CONNECTION_CLOSE;
+    }
+
     /**
      * Returns the name for logs and metrics.
      *
