Take a crash back only on a response over a connection from before it

What callers saw: a request that crashes targets was sent on, and others lost their targets for it. Cause: a target whose entry stayed in the store for the lifetime of an entry and two seconds counted as alive, and its crash no longer counted, on all VMs. An entry outlives its target when a write is carried out late (up to six seconds on this platform), when leases pause, or when a listing is old. Why it works: no connection outlives its process, so a response to a later request on a connection that was open before the crashed request was sent comes from the same process. Entries are no longer evidence. The two tests of heartbeats in CrashSuspectsTests became those of responses, as strict in both directions.

--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -54,6 +54,10 @@
 
     private final MonotonicClock clock;
     private final SequencedMap<Long, Entry> entries = new LinkedHashMap<>();
+
+    /** Targets of which this VM has observed a crash that may still be cleared by a response. */
+    private final Set<String> observedTargets = new HashSet<>();
+
     private volatile boolean empty = true;
 
     /**
@@ -127,10 +131,22 @@
      */
     public synchronized void recordCrash(String target, String failureDomain, Collection<Long> fingerprints) {
         for (long fingerprint : fingerprints) {
-            recordCrashes(fingerprint, Map.of(target, failureDomain), true);
+            recordCrash(target, failureDomain, fingerprint, clock.nanos());
         }
     }
 
+    /**
+     * Records that a target crashed while running a request.
+     *
+     * @param target the target's name
+     * @param failureDomain the target's failure domain
+     * @param fingerprint the request's fingerprint
+     * @param sentNanos the clock reading when the request was sent to the target
+     */
+    public synchronized void recordCrash(String target, String failureDomain, long fingerprint, long sentNanos) {
+        recordCrashes(fingerprint, Map.of(target, new Crash(failureDomain, new Observation(sentNanos, clock.nanos()))));
+    }
+
     /**
      * Records that a request received a complete response, which clears the crashes recorded against it.
      *
@@ -143,17 +159,36 @@
     }
 
     /**
-     * Records that targets have not crashed, which clears the crashes of them that were recorded before.
+     * Records that a target has responded to any request. A crash has not happened if the connection is as old as the
+     * request under which it was observed, and the target responds on it to a later one, since a connection does not
+     * outlive its process. Crashes that were observed by other VMs are not cleared.
      *
-     * @param targets the targets' names
-     * @param asOfNanos the clock reading at which the targets were still running
-     * @return the names of the targets whose crashes were cleared
+     * @param target the target's name
+     * @param openSinceNanos a clock reading at which the connection was open
+     * @param sentNanos the clock reading when the request was sent
+     * @return the fingerprints of the requests for which a crash of the target was cleared
      */
-    public synchronized Set<String> recordAlive(Set<String> targets, long asOfNanos) {
-        Set<String> cleared = new HashSet<>();
-        for (Entry entry : entries.values()) {
-            cleared.addAll(entry.clear(
-                    target -> targets.contains(target) && entry.crashedBefore(target, asOfNanos), clock.nanos()));
+    public synchronized Set<Long> recordResponse(String target, long openSinceNanos, long sentNanos) {
+        if (!observedTargets.contains(target)) {
+            return Set.of();
+        }
+        Set<Long> cleared = new HashSet<>();
+        boolean observed = false;
+        for (Map.Entry<Long, Entry> row : entries.entrySet()) {
+            Entry entry = row.getValue();
+            Observation observation = entry.observation(target);
+            if (observation == null) {
+                continue;
+            }
+            if (openSinceNanos - observation.sentNanos() <= 0 && observation.recordedNanos() - sentNanos < 0) {
+                entry.clear(target::equals, clock.nanos());
+                cleared.add(row.getKey());
+            } else {
+                observed = true;
+            }
+        }
+        if (!observed) {
+            observedTargets.remove(target);
         }
         return cleared;
     }
@@ -218,7 +253,11 @@
      * @param report the peer's report, in the form of {@link #report}
      */
     public synchronized void mergeReport(Map<Long, Map<String, String>> report) {
-        report.forEach((fingerprint, crashes) -> recordCrashes(fingerprint, crashes, false));
+        report.forEach((fingerprint, domainsByTarget) -> {
+            Map<String, Crash> crashes = new HashMap<>();
+            domainsByTarget.forEach((target, domain) -> crashes.put(target, new Crash(domain, null)));
+            recordCrashes(fingerprint, crashes);
+        });
     }
 
     /**
@@ -237,17 +276,23 @@
         mergeReport(report.crashes());
     }
 
-    private void recordCrashes(long fingerprint, Map<String, String> domainsByTarget, boolean observed) {
+    private void recordCrashes(long fingerprint, Map<String, Crash> crashes) {
         Entry entry = unexpiredEntry(fingerprint);
         if (entry == null) {
             entry = new Entry(clock.nanos() - ENTRY_TTL.toNanos());
         }
         long now = clock.nanos();
         boolean changed = false;
-        for (Map.Entry<String, String> crashed : domainsByTarget.entrySet()) {
-            if (!entry.cleared.contains(crashed.getKey())) {
-                Crash crash = new Crash(crashed.getValue(), now);
-                changed |= entry.crashes.putIfAbsent(crashed.getKey(), crash) == null;
+        boolean observed = false;
+        for (Map.Entry<String, Crash> crash : crashes.entrySet()) {
+            if (entry.cleared.contains(crash.getKey())
+                    || entry.crashes.putIfAbsent(crash.getKey(), crash.getValue()) != null) {
+                continue;
+            }
+            changed = true;
+            if (crash.getValue().observation() != null) {
+                observed = true;
+                observedTargets.add(crash.getKey());
             }
         }
         if (!changed) {
@@ -298,7 +343,21 @@
         QUARANTINED
     }
 
-    private record Crash(String failureDomain, long recordedNanos) {}
+    /**
+     * A crash of a target.
+     *
+     * @param failureDomain the target's failure domain
+     * @param observation when this VM observed it, or null if another VM did
+     */
+    private record Crash(String failureDomain, @Nullable Observation observation) {}
+
+    /**
+     * The loss of a connection to a target.
+     *
+     * @param sentNanos when the request was sent
+     * @param recordedNanos when the connection was lost
+     */
+    private record Observation(long sentNanos, long recordedNanos) {}
 
     private static final class Entry {
         private final Map<String, Crash> crashes = new HashMap<>();
@@ -327,9 +386,9 @@
             return removed;
         }
 
-        private boolean crashedBefore(String target, long nanos) {
+        private @Nullable Observation observation(String target) {
             Crash crash = crashes.get(target);
-            return crash != null && crash.recordedNanos() - nanos < 0;
+            return crash == null ? null : crash.observation();
         }
 
         private Map<String, String> failureDomains() {
--- a/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
@@ -15,7 +15,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** Requests are quarantined by crashes of several targets, and cleared by responses and heartbeats. */
+/** Requests are quarantined by crashes of several targets, and cleared by responses. */
 class CrashSuspectsTests {
 
     private static final long FINGERPRINT = 7;
@@ -64,22 +64,64 @@
     }
 
     @Test
-    void laterHeartbeatClearsCrash() {
+    void laterResponseOnOlderConnectionDisprovesCrash() {
+        long opened = clock.nanos();
+        clock.advance(SECOND);
         crash("a", "b", "c");
         clock.advance(SECOND);
-        suspects.recordAlive(Set.of("c"), clock.nanos());
+        assertThat(suspects.recordResponse("c", opened, clock.nanos()), equalTo(Set.of(FINGERPRINT)));
         assertThat(suspects.status(FINGERPRINT), equalTo(Status.SUSPECT));
         assertThat(suspects.crashedTargets(FINGERPRINT), equalTo(Set.of("a", "b")));
+        assertThat(suspects.recordResponse("c", opened, clock.nanos()), equalTo(Set.of()));
     }
 
+    /** Guards against a target that has restarted under the same name, before the VM has learned of it. */
     @Test
-    void heartbeatFromBeforeCrashDoesNotClearIt() {
+    void responseOnConnectionOpenedAfterCrashProvesNothing() {
+        crash("a", "b", "c");
+        clock.advance(SECOND);
+        long opened = clock.nanos();
+        clock.advance(SECOND);
+        assertThat(suspects.recordResponse("c", opened, clock.nanos()), equalTo(Set.of()));
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.QUARANTINED));
+    }
+
+    /** Guards against a response that a target sent before it crashed, and that arrives later. */
+    @Test
+    void responseToRequestSentBeforeCrashProvesNothing() {
+        long sent = clock.nanos();
         clock.advance(SECOND);
         crash("a", "b", "c");
-        suspects.recordAlive(Set.of("a", "b", "c"), clock.nanos() - SECOND.toNanos());
+        clock.advance(SECOND);
+        assertThat(suspects.recordResponse("c", sent, sent), equalTo(Set.of()));
         assertThat(suspects.status(FINGERPRINT), equalTo(Status.QUARANTINED));
     }
 
+    /** Guards against a connection that was opened between the crash of a target and its observation. */
+    @Test
+    void connectionOpenedAfterCrashedRequestWasSentProvesNothing() {
+        long sent = clock.nanos();
+        clock.advance(SECOND);
+        long opened = clock.nanos();
+        clock.advance(SECOND);
+        suspects.recordCrash("a", "fd-1", FINGERPRINT, sent);
+        clock.advance(SECOND);
+        assertThat(suspects.recordResponse("a", opened, clock.nanos()), equalTo(Set.of()));
+    }
+
+    @Test
+    void crashObservedByPeerIsNotDisproved() {
+        CrashSuspects peer = new CrashSuspects(clock);
+        long opened = clock.nanos();
+        crash("a");
+        peer.mergeReport(suspects.report());
+        clock.advance(SECOND);
+        assertThat(peer.recordResponse("a", opened, clock.nanos()), equalTo(Set.of()));
+        suspects.recordResponse("a", opened, clock.nanos());
+        peer.mergeReport(suspects.recentReport(SECOND));
+        assertThat("the VM that observed it tells its peers", peer.status(FINGERPRINT), equalTo(Status.CLEAR));
+    }
+
     @Test
     void singleRequestRunsAfterQuarantine() {
         crash("a", "b", "c");
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -154,8 +154,6 @@
         TargetListSystem targetList = new TargetListSystem(
                 store,
                 directory,
-                crashSuspects,
-                settings.entryLifetime(),
                 control,
                 clock,
                 new JitteredTimer(clock, random, TARGET_INTERVAL),
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -222,13 +222,41 @@
         }
     }
 
-    /** Records a crash of a target that ran the request. It is cleared if the target stays registered. */
+    /** Clears crashes of the target that this response disproves. */
+    private void recordResponse(LiveTarget target, TargetExchange responding) {
+        Object connection = responding.connection();
+        if (connection == null) {
+            return;
+        }
+        long openSinceNanos = target.load().openSinceNanos(connection);
+        if (context.crashSuspects().isEmpty()) {
+            return;
+        }
+        Set<Long> cleared = context.crashSuspects()
+                .recordResponse(target.entry().incarnation().name(), openSinceNanos, sentNanos);
+        if (!cleared.isEmpty()) {
+            context.metrics().crash("disproved");
+            context.decisionLog()
+                    .write(
+                            "crash_disproved",
+                            requestId(),
+                            "target",
+                            lastTarget,
+                            "target_born_ms",
+                            lastTargetBornMillis,
+                            "fingerprints",
+                            cleared.stream().map(Long::toHexString).toList());
+        }
+    }
+
+    /** Records a crash of a target that ran the request. */
     private void recordSuspectedCrash(LiveTarget target) {
         context.crashSuspects()
                 .recordCrash(
                         target.entry().incarnation().name(),
                         target.entry().failureDomain(),
-                        Set.of(caller.fingerprint()));
+                        caller.fingerprint(),
+                        sentNanos);
         context.metrics().crash("recorded");
         context.decisionLog()
                 .write(
@@ -367,6 +395,9 @@
         possiblyExecutedAttempts++;
         boolean idMismatch =
                 metadata.requestId() != null && !metadata.requestId().equals(requestId());
+        if (metadata.requestId() != null && !idMismatch) {
+            recordResponse(target, exchange);
+        }
         boolean unsigned = response.getStatus() < SERVER_ERROR_STATUS - 100 && !metadata.signed();
         if (idMismatch || unsigned) {
             recordFailure(
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.jspecify.annotations.Nullable;
 
 /** A single request to one target. Any thread may {@link #abort} it, which closes the connection to the target. */
 final class TargetExchange implements AutoCloseable {
@@ -88,6 +89,12 @@
         return new TargetRequestException(requestBegun.get(), cause instanceof TimeoutException, false, cause);
     }
 
+    /** Returns the connection on which the request was sent, or null before that. */
+    @Nullable
+    Object connection() {
+        return request.getConnection();
+    }
+
     /** Returns the body of a response. Reads fail if the response is truncated. */
     ResponseBody responseBody(Response response) {
         return new ResponseBody(response, listener.getInputStream());
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -3,7 +3,6 @@
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.control.ControlSystem;
 import dev.bluebellshunt.core.control.JitteredTimer;
-import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.SharedStore;
@@ -23,7 +22,6 @@
 
     private final SharedStore store;
     private final TargetDirectory directory;
-    private final RegistrationMonitor registrations;
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final JitteredTimer pollInterval;
@@ -53,8 +51,6 @@
      *
      * @param store the store
      * @param directory the directory to update
-     * @param crashSuspects the table from which crashes of running targets are cleared
-     * @param entryLifetime the time after which the store removes the entry of a target that has ended
      * @param control the executor of the control thread
      * @param clock the time source
      * @param pollInterval the interval between reads
@@ -65,8 +61,6 @@
     public TargetListSystem(
             SharedStore store,
             TargetDirectory directory,
-            CrashSuspects crashSuspects,
-            Duration entryLifetime,
             ControlExecutor control,
             MonotonicClock clock,
             JitteredTimer pollInterval,
@@ -74,7 +68,6 @@
             Duration maxPeerAge) {
         this.store = store;
         this.directory = directory;
-        this.registrations = new RegistrationMonitor(crashSuspects, entryLifetime);
         this.control = control;
         this.clock = clock;
         this.pollInterval = pollInterval;
@@ -110,7 +103,6 @@
                         log.info("The store does not return the registered targets: {}", failure.toString());
                     }
                     directory.recordStoreFailure();
-                    registrations.recordStoreFailure();
                     log.debug("Failed to read the registered targets: {}", failure.toString());
                 });
     }
@@ -134,7 +126,6 @@
                 previous == null || !previous.entries().equals(entries) ? number : previous.entriesNumber();
         listing = new Listing(number, entriesNumber, List.copyOf(entries), asOfNanos, outages);
         directory.update(entries);
-        registrations.update(entries, asOfNanos);
     }
 
     /**
@@ -164,7 +155,6 @@
         if (last != null && last.outages() != peerOutages) {
             outages++;
             directory.recordStoreFailure();
-            registrations.recordStoreFailure();
         }
         learned = new LearnedListing(process, number, peerOutages);
         update(adopted, asOfNanos);
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -25,6 +25,7 @@
     private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
     private final MonotonicClock clock;
+    private final ConnectionTimes connectionTimes;
     private final Map<String, Long> weightsVersions = new HashMap<>();
     private int openRequests;
     private long openTokens;
@@ -42,6 +43,7 @@
      */
     public TargetLoad(MonotonicClock clock) {
         this.clock = clock;
+        this.connectionTimes = new ConnectionTimes(clock);
         this.backoffDeadline = new Deadline(clock.nanos());
         this.overloadDeadline = backoffDeadline;
     }
@@ -150,6 +152,16 @@
         return !isStalled();
     }
 
+    /**
+     * Returns a time since which a connection to the target has been open.
+     *
+     * @param connection a connection on which the target responds
+     * @return the clock reading of the first call for this connection
+     */
+    public long openSinceNanos(Object connection) {
+        return connectionTimes.openSinceNanos(connection);
+    }
+
     /**
      * Records the version of a model's weights that the target has.
      *
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -95,8 +95,6 @@
             targetList = new TargetListSystem(
                     storeClient,
                     directory,
-                    crashSuspects,
-                    Duration.ofSeconds(3),
                     control,
                     clock,
                     timer(Duration.ofMillis(1_200)),
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -53,6 +53,7 @@
 import java.util.Objects;
 import java.util.Queue;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -771,6 +772,60 @@
         assertThat("crashes", countCrashes(closeAfter("", "some of the bytes")), lessThanOrEqualTo(3));
     }
 
+    private void registerOneTarget() {
+        directory.update(List.of(
+                new TargetEntry("t0", 1, "apps", "127.0.0.1", targetPorts.getFirst(), "fd-1", 6, false, Map.of())));
+    }
+
+    /** Opens two connections to the target, by two requests that it runs at the same time. */
+    private void openTwoConnections() throws Exception {
+        CountDownLatch bothRun = new CountDownLatch(2);
+        ScriptedResponse together = (request, response, callback) -> {
+            bothRun.countDown();
+            bothRun.await(WAIT_SECONDS, TimeUnit.SECONDS);
+            ok("together").respond(request, response, callback);
+        };
+        scriptedResponses.add(together);
+        scriptedResponses.add(together);
+        CompletableFuture<ContentResponse> first = new CompletableFuture<>();
+        Thread.ofVirtual().start(() -> {
+            try {
+                first.complete(get("/once/first"));
+            } catch (Exception e) {
+                first.completeExceptionally(e);
+            }
+        });
+        assertThat(get("/once/second").getStatus(), equalTo(200));
+        assertThat(first.get(WAIT_SECONDS, TimeUnit.SECONDS).getStatus(), equalTo(200));
+    }
+
+    private void loseConnection() throws Exception {
+        scriptedResponses.add(closeWithoutResponse());
+        assertThat(post("/once/harmless", "id-1").getStatus(), equalTo(502));
+        assertThat("crashes", crashSuspects.report().size(), equalTo(1));
+        clock.advance(Duration.ofSeconds(1));
+    }
+
+    /** Guards against requests that are quarantined because targets close connections, without a crash. */
+    @Test
+    void responseOnConnectionFromBeforeSuspectedCrashDisprovesIt() throws Exception {
+        configure();
+        registerOneTarget();
+        openTwoConnections();
+        loseConnection();
+        assertThat(get("/once/next").getStatus(), equalTo(200));
+        assertThat("crashes", crashSuspects.report().size(), equalTo(0));
+    }
+
+    @Test
+    void responseOnNewConnectionDoesNotDisproveCrash() throws Exception {
+        configure();
+        registerOneTarget();
+        loseConnection();
+        assertThat(get("/once/next").getStatus(), equalTo(200));
+        assertThat("crashes", crashSuspects.report().size(), equalTo(1));
+    }
+
     @Test
     void responseHeadWithoutEndIsFailureOfTarget() throws Exception {
         configure();
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
@@ -5,7 +5,6 @@
 import static org.hamcrest.Matchers.hasSize;
 
 import dev.bluebellshunt.core.control.JitteredTimer;
-import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
 import dev.bluebellshunt.relay.model.TargetEntry;
@@ -29,8 +28,6 @@
     private final TargetListSystem system = new TargetListSystem(
             store,
             directory,
-            new CrashSuspects(clock),
-            Duration.ofSeconds(3),
             control,
             clock,
             new JitteredTimer(clock, new Random(1), Duration.ofMillis(1_200)),
