Keep only targets that were missing at the end of an outage, for as long as they need to register again

What callers saw: requests were sent to targets that had left, up to 3 s after their entry was removed (bound 2 s), by VMs that the store had refused for two seconds; they waited for targets that ended, or were cut off. Cause: the first listing after any failed read began a grace period of two seconds in which every missing target was kept: also one that a listing since the return had, also on a VM that alone had been refused while others read the store, and again after each failed read. Its end was noticed by the next regular read only, up to 1.4 s late. Change: a listing says since when the store has been read without a gap in which an entry can expire, by whichever VM; targets get time only if that is later than the previous listing, at most three times in a row, and the read at the end of that time is scheduled. A VM whose read failed asks one other hub a tick for the listing, and retries after 0.4 s. Why it works: an entry that an answer since the outage had has not expired in it, and a store that served another VM was not down. Tests that described an outage by a failed read or a counter say now what the listing says: the same steps and bounds.

--- a/core/src/main/java/dev/bluebellshunt/core/control/JitteredTimer.java
+++ b/core/src/main/java/dev/bluebellshunt/core/control/JitteredTimer.java
@@ -56,6 +56,15 @@
         nextDue = Deadline.after(clock, Duration.ofNanos((long) (delay.toNanos() * factor)));
     }
 
+    /**
+     * Schedules the next run earlier, unless it is due by then anyway.
+     *
+     * @param latest the latest time of the next run
+     */
+    public void dueBy(Deadline latest) {
+        nextDue = nextDue.earlier(latest);
+    }
+
     /** Makes the work due immediately. */
     public void triggerNow() {
         nextDue = new Deadline(clock.nanos());
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -154,6 +154,7 @@
         TargetListSystem targetList = new TargetListSystem(
                 store,
                 directory,
+                settings.entryLifetime(),
                 control,
                 clock,
                 new JitteredTimer(clock, random, TARGET_INTERVAL),
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -50,7 +50,7 @@
     /** Time for which a hub that did not respond is not asked again. */
     private static final Duration HUB_BACKOFF = Duration.ofSeconds(2);
 
-    /** Age of the operators' state beyond which a hub asks other hubs for theirs; its own watch has failed. */
+    /** Age of the operators' state beyond which a hub asks another hub for its own; its own watch has failed. */
     private static final Duration STALE_STATE_AGE = Duration.ofMillis(2_900);
 
     private static final Logger log = LoggerFactory.getLogger("peers");
@@ -200,13 +200,15 @@
         currentHub = "";
         receiver.prefixUpdates().add(vm, engineCacheIndex.drainUpdates(), true);
         PeerReport group = peerReports.groupReport();
-        if (skipsIdleReport(group, TICKS_PER_IDLE_REPORT)) {
+        boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0 || targetList.isStale();
+        if (skipsIdleReport(group, TICKS_PER_IDLE_REPORT) && !wantsState) {
             return;
         }
         PeerReport report = group.withPrefixes(receiver.prefixUpdates().drainUnreported());
-        boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0;
-        ReportMessage message = new ReportMessage(report, false, wantsState, configurationVersion(), "", 0, 0, 0);
-        hubs.forEach(hub -> send(hub, message));
+        for (int i = 0; i < hubs.size(); i++) {
+            boolean asked = wantsState && i == Math.floorMod(report.sequence(), hubs.size());
+            send(hubs.get(i), new ReportMessage(report, false, asked, configurationVersion(), "", 0, 0, 0));
+        }
     }
 
     private boolean skipsIdleReport(PeerReport report, int ticksPerReport) {
@@ -285,7 +287,7 @@
                     targets.listing(),
                     targets.entries(),
                     askedNanos - TimeUnit.MILLISECONDS.toNanos(targets.ageMillis()),
-                    targets.outages());
+                    clock.nanos() - TimeUnit.MILLISECONDS.toNanos(targets.availableMillis()));
         }
         FleetDigest digest = reply.digest();
         if (digest != null) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
@@ -134,7 +134,7 @@
                 listing.number(),
                 knownListing >= listing.entriesNumber() ? null : listing.entries(),
                 ageMillis(listing.asOfNanos()),
-                listing.outages());
+                TimeUnit.NANOSECONDS.toMillis(clock.nanos() - listing.availableSinceNanos()));
     }
 
     /** Returns the age in milliseconds, rounded up. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
@@ -39,7 +39,7 @@
      * @param listing the number of the listing
      * @param entries the entries, or null if they are the same as in the listing that the sender of the report has
      * @param ageMillis the age of the listing
-     * @param outages the number of times that the store did not answer before it
+     * @param availableMillis the time for which the store has been available to the VM that responds
      */
-    public record Targets(long listing, @Nullable List<TargetEntry> entries, long ageMillis, long outages) {}
+    public record Targets(long listing, @Nullable List<TargetEntry> entries, long ageMillis, long availableMillis) {}
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,51 +17,52 @@
 /**
  * The registered targets, updated from full listings of the store.
  *
- * <p>During a store outage the entries of live targets can expire. After an outage, missing entries are therefore
- * kept until targets have had time to register again. Confined to the control thread, except for
- * {@link #snapshot()} and the methods that are documented as thread-safe.
+ * <p>During a store outage the entries of running targets can expire. Targets that are missing in the first listing
+ * after an outage are therefore kept until they have had time to register again. Confined to the control thread,
+ * except for {@link #snapshot()} and the methods that are documented as thread-safe.
  */
 public final class TargetDirectory {
 
     /** Time that targets need to register again after a store outage. */
     static final Duration REREGISTRATION_GRACE = Duration.ofSeconds(2);
 
+    /** The maximum number of outages in a row that each give a missing target the time to register again. */
+    static final int MAX_GRACES = 3;
+
     private static final Logger log = LoggerFactory.getLogger("targets");
 
     private final MonotonicClock clock;
+    private final Map<TargetEntry.Incarnation, Grace> missing = new HashMap<>();
     private final Map<TargetEntry.Incarnation, LiveTarget> targets = new LinkedHashMap<>();
     private final Map<TargetEntry.Incarnation, TargetLoad> loads = new HashMap<>();
-    private boolean storeWasUnavailable;
-    private Deadline graceDeadline;
     private volatile TargetSnapshot snapshot = TargetSnapshot.EMPTY;
     private volatile Set<TargetEntry.Incarnation> loading = Set.of();
 
+    /**
+     * The time that a target has to register again.
+     *
+     * @param deadline the time from which a listing without the target removes it
+     * @param number the number of such times since the target was last listed
+     */
+    private record Grace(Deadline deadline, int number) {}
+
     /**
      * Creates an empty directory.
      *
-     * @param clock the clock for the grace period
+     * @param clock the clock for backoff and stall detection
      */
     public TargetDirectory(MonotonicClock clock) {
         this.clock = clock;
-        this.graceDeadline = new Deadline(clock.nanos());
-    }
-
-    /** Records that reading the listing from the store failed. */
-    public void recordStoreFailure() {
-        storeWasUnavailable = true;
     }
 
     /**
      * Replaces the registered targets by a full listing.
      *
      * @param listing all entries in the store
+     * @param asOfNanos the time as of which the listing was current
+     * @param mayHaveExpired whether entries of running targets may have expired since the previous listing
      */
-    public void update(List<TargetEntry> listing) {
-        if (storeWasUnavailable) {
-            storeWasUnavailable = false;
-            graceDeadline = Deadline.after(clock, REREGISTRATION_GRACE);
-        }
-        boolean keepMissing = !graceDeadline.hasPassed(clock);
+    public void update(List<TargetEntry> listing, long asOfNanos, boolean mayHaveExpired) {
         Map<TargetEntry.Incarnation, LiveTarget> previous = new LinkedHashMap<>(targets);
         targets.clear();
         for (TargetEntry entry : listing) {
@@ -77,15 +79,16 @@
             }
             targets.put(entry.incarnation(), new LiveTarget(entry, load));
         }
+        missing.keySet().retainAll(previous.keySet());
         previous.forEach((incarnation, target) -> {
-            if (keepMissing && !isReplaced(target.entry(), listing)) {
+            if (!isReplaced(target.entry(), listing) && isInGrace(incarnation, asOfNanos, mayHaveExpired)) {
                 targets.put(incarnation, target);
                 log.info(
-                        "Target {} of pool {} is not registered, but kept for {} ms more after an outage.",
+                        "Target {} of pool {} is not registered, but kept after an outage.",
                         incarnation.id(),
-                        target.entry().pool(),
-                        graceDeadline.remaining(clock).toMillis());
+                        target.entry().pool());
             } else {
+                missing.remove(incarnation);
                 log.info(
                         "Target {} of pool {} is no longer registered.",
                         incarnation.id(),
@@ -96,6 +99,27 @@
         publishSnapshot();
     }
 
+    /** Returns whether a target that is missing in a listing still has time to register again. */
+    private boolean isInGrace(TargetEntry.Incarnation incarnation, long asOfNanos, boolean mayHaveExpired) {
+        Grace grace = missing.get(incarnation);
+        int graces = grace == null ? 0 : grace.number();
+        if (mayHaveExpired && graces < MAX_GRACES) {
+            Deadline deadline = new Deadline(asOfNanos + REREGISTRATION_GRACE.toNanos());
+            missing.put(incarnation, new Grace(deadline, graces + 1));
+            return true;
+        }
+        return grace != null && asOfNanos - grace.deadline().atNanos() < 0;
+    }
+
+    /**
+     * Returns the time from which a listing removes targets that are missing now.
+     *
+     * @return the earliest such time, or empty if no target is missing
+     */
+    Optional<Deadline> graceEnd() {
+        return missing.values().stream().map(Grace::deadline).reduce(Deadline::earlier);
+    }
+
     /** Returns whether a listing has another incarnation of a target, or another target at its address. */
     private static boolean isReplaced(TargetEntry entry, List<TargetEntry> listing) {
         for (TargetEntry listed : listing) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.control.ControlSystem;
 import dev.bluebellshunt.core.control.JitteredTimer;
+import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.SharedStore;
@@ -18,10 +19,18 @@
 /** Periodically reads the registered targets from the store. */
 public final class TargetListSystem implements ControlSystem {
 
+    /** Interval between reads while the store does not answer, so that its return is noticed early. */
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
+
+    /** Added to the end of a grace period; covers the differences between the ages of listings at other VMs. */
+    private static final Duration GRACE_READ_DELAY = Duration.ofMillis(100);
+
     private static final Logger log = LoggerFactory.getLogger("targets");
 
     private final SharedStore store;
     private final TargetDirectory directory;
+
+    private final Duration entryLifetime;
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final JitteredTimer pollInterval;
@@ -29,7 +38,7 @@
     private final Duration maxPeerAge;
     private boolean readPending;
     private boolean storeFailed;
-    private long outages;
+    private boolean failedSinceListing;
     private @Nullable LearnedListing learned;
     private volatile @Nullable Listing listing;
 
@@ -40,17 +49,20 @@
      * @param entriesNumber the number of the first listing with these entries
      * @param entries all entries in the store
      * @param asOfNanos the time as of which the listing was current
-     * @param outages the number of times that the store did not answer before it, since the start of this process
+     * @param availableSinceNanos the time since which the store has been read so often that no entry of a running
+     *     target can have expired
      */
-    public record Listing(long number, long entriesNumber, List<TargetEntry> entries, long asOfNanos, long outages) {}
+    public record Listing(
+            long number, long entriesNumber, List<TargetEntry> entries, long asOfNanos, long availableSinceNanos) {}
 
-    private record LearnedListing(String process, long number, long outages) {}
+    private record LearnedListing(String process, long number) {}
 
     /**
      * Creates a system that reads for the first time at its first tick.
      *
      * @param store the store
      * @param directory the directory to update
+     * @param entryLifetime the time after which the store removes the entry of a target that has ended
      * @param control the executor of the control thread
      * @param clock the time source
      * @param pollInterval the interval between reads
@@ -61,6 +73,7 @@
     public TargetListSystem(
             SharedStore store,
             TargetDirectory directory,
+            Duration entryLifetime,
             ControlExecutor control,
             MonotonicClock clock,
             JitteredTimer pollInterval,
@@ -68,6 +81,7 @@
             Duration maxPeerAge) {
         this.store = store;
         this.directory = directory;
+        this.entryLifetime = entryLifetime;
         this.control = control;
         this.clock = clock;
         this.pollInterval = pollInterval;
@@ -88,21 +102,25 @@
                     readPending = false;
                     learned = null;
                     if (storeFailed) {
-                        outages++;
                         storeFailed = false;
                         log.info(
                                 "The store has returned the registered targets again, {} ms after the last listing.",
                                 millisSinceListing(sentNanos));
                     }
-                    update(entries, sentNanos);
+                    update(entries, sentNanos, availableSince(sentNanos));
+                    directory
+                            .graceEnd()
+                            .ifPresent(end ->
+                                    pollInterval.dueBy(new Deadline(end.atNanos() + GRACE_READ_DELAY.toNanos())));
                 },
                 failure -> {
                     readPending = false;
+                    failedSinceListing = true;
                     if (!storeFailed) {
                         storeFailed = true;
                         log.info("The store does not return the registered targets: {}", failure.toString());
                     }
-                    directory.recordStoreFailure();
+                    pollInterval.rescheduleAfter(RETRY_INTERVAL);
                     log.debug("Failed to read the registered targets: {}", failure.toString());
                 });
     }
@@ -119,13 +137,51 @@
                 && clock.nanos() - latest.asOfNanos() < maxPeerAge.toNanos();
     }
 
-    private void update(List<TargetEntry> entries, long asOfNanos) {
+    /** Returns since when the store has been available, as far as the reads of this VM before a successful one show. */
+    private long availableSince(long sentNanos) {
+        Listing previous = listing;
+        if (previous == null || failedSinceListing || sentNanos - previous.asOfNanos() >= entryLifetime.toNanos()) {
+            return sentNanos;
+        }
+        return previous.availableSinceNanos();
+    }
+
+    /**
+     * Returns whether other VMs may have a newer listing, because the store does not answer this VM.
+     *
+     * @return true if this VM should ask another one
+     */
+    public boolean isStale() {
+        Listing latest = listing;
+        return storeFailed || latest == null || clock.nanos() - latest.asOfNanos() >= maxPeerAge.toNanos();
+    }
+
+    private void update(List<TargetEntry> entries, long asOfNanos, long readerAvailableSinceNanos) {
         Listing previous = listing;
-        long number = previous == null ? 1 : previous.number() + 1;
-        long entriesNumber =
-                previous == null || !previous.entries().equals(entries) ? number : previous.entriesNumber();
-        listing = new Listing(number, entriesNumber, List.copyOf(entries), asOfNanos, outages);
-        directory.update(entries);
+        failedSinceListing = false;
+        if (previous == null) {
+            listing = new Listing(1, 1, List.copyOf(entries), asOfNanos, readerAvailableSinceNanos);
+            directory.update(entries, asOfNanos, false);
+            return;
+        }
+        // Targets renew their entries at least every third of the lifetime, so none expires between closer reads.
+        long maxGapNanos = entryLifetime.multipliedBy(2).dividedBy(3).toNanos();
+        boolean mayHaveExpired =
+                asOfNanos - previous.asOfNanos() >= maxGapNanos && readerAvailableSinceNanos - previous.asOfNanos() > 0;
+        long number = previous.number() + 1;
+        listing = new Listing(
+                number,
+                previous.entries().equals(entries) ? previous.entriesNumber() : number,
+                List.copyOf(entries),
+                asOfNanos,
+                mayHaveExpired
+                        ? readerAvailableSinceNanos
+                        : earlier(previous.availableSinceNanos(), readerAvailableSinceNanos));
+        directory.update(entries, asOfNanos, mayHaveExpired);
+    }
+
+    private static long earlier(long firstNanos, long secondNanos) {
+        return firstNanos - secondNanos < 0 ? firstNanos : secondNanos;
     }
 
     /**
@@ -135,10 +191,15 @@
      * @param number the number of the listing in that process
      * @param entries the entries, or null if they are those of the listing that was last adopted
      * @param asOfNanos the time as of which the listing was current, on the clock of this VM
-     * @param peerOutages the number of outages of the store before the listing, as counted by that process
+     * @param availableSinceNanos the time since which the store has been available to that process without an outage,
+     *     on the clock of this VM, and not understated
      */
     public void learn(
-            String process, long number, @Nullable List<TargetEntry> entries, long asOfNanos, long peerOutages) {
+            String process,
+            long number,
+            @Nullable List<TargetEntry> entries,
+            long asOfNanos,
+            long availableSinceNanos) {
         Listing previous = listing;
         LearnedListing last = learned != null && learned.process().equals(process) ? learned : null;
         boolean known = last != null && last.number() == number;
@@ -152,12 +213,8 @@
             }
             adopted = previous.entries();
         }
-        if (last != null && last.outages() != peerOutages) {
-            outages++;
-            directory.recordStoreFailure();
-        }
-        learned = new LearnedListing(process, number, peerOutages);
-        update(adopted, asOfNanos);
+        learned = new LearnedListing(process, number);
+        update(adopted, asOfNanos, availableSinceNanos);
     }
 
     /**
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/LeavingTargetFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/LeavingTargetFleetTests.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.equalTo;
 
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -122,4 +123,35 @@
     void targetsThatLeftAreDroppedByMembersWhoseHubsStoreRefusedBefore() {
         playRefusals(24, SEEDS / 4, Duration.ofSeconds(4), Duration.ofSeconds(3));
     }
+
+    /** Guards against VMs that drop all targets, or some, because their entries expired while the store was down. */
+    @Test
+    void runningTargetsWhoseEntriesExpiredInAnOutageAreKept() {
+        for (int seed = 0; seed < SEEDS / 2; seed++) {
+            startFleet(seed % 2 == 0 ? 8 : 24, seed);
+            List<TargetEntry> running = List.copyOf(registered);
+            fleet.store.setMode(FakeSharedStore.Mode.UNAVAILABLE);
+            fleet.store.setTargets(List.of());
+            int outage = 150 + fleet.random.nextInt(200);
+            int firstRegistration = outage + fleet.random.nextInt(40);
+            for (int step = 0; step < outage + 400; step++) {
+                if (step == outage) {
+                    fleet.store.setMode(FakeSharedStore.Mode.AVAILABLE);
+                }
+                // All targets are back 1.9 s after the return of the store.
+                int registrations = Math.min(running.size(), 1 + (step - firstRegistration) / 4);
+                if (step >= firstRegistration) {
+                    fleet.store.setTargets(running.subList(0, registrations));
+                }
+                fleet.step();
+                for (SimulatedFleet.Vm vm : fleet.vms) {
+                    for (TargetEntry target : running) {
+                        assertThat(
+                                target.id() + " at " + vm.name + " with seed " + seed + " at step " + step,
+                                vm.directory.snapshot().acceptsRequests(target.incarnation()));
+                    }
+                }
+            }
+        }
+    }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -95,6 +95,7 @@
             targetList = new TargetListSystem(
                     storeClient,
                     directory,
+                    Duration.ofMillis(3_600),
                     control,
                     clock,
                     timer(Duration.ofMillis(1_200)),
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -258,7 +258,7 @@
             entries.add(new TargetEntry(
                     "t" + i, bornMillis, "apps", "127.0.0.1", targetPorts.get(i), "fd-1", 6, false, Map.of()));
         }
-        directory.update(entries);
+        directory.update(entries, clock.nanos(), false);
     }
 
     private static RelayRoute route(String prefix, RouteKind kind, boolean anonymous) {
@@ -773,8 +773,9 @@
     }
 
     private void registerOneTarget() {
-        directory.update(List.of(
-                new TargetEntry("t0", 1, "apps", "127.0.0.1", targetPorts.getFirst(), "fd-1", 6, false, Map.of())));
+        TargetEntry target =
+                new TargetEntry("t0", 1, "apps", "127.0.0.1", targetPorts.getFirst(), "fd-1", 6, false, Map.of());
+        directory.update(List.of(target), clock.nanos(), false);
     }
 
     /** Opens two connections to the target, by two requests that it runs at the same time. */
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
@@ -20,6 +20,14 @@
     private final TargetEntry first = TestTargets.engine("e1", 1);
     private final TargetEntry second = TestTargets.engine("e2", 1);
 
+    private void update(List<TargetEntry> listing) {
+        directory.update(listing, clock.nanos(), false);
+    }
+
+    private void updateAfterOutage(List<TargetEntry> listing) {
+        directory.update(listing, clock.nanos(), true);
+    }
+
     private List<TargetEntry> registeredEntries() {
         return directory.snapshot().pool("engines").stream()
                 .map(LiveTarget::entry)
@@ -28,44 +36,41 @@
 
     @Test
     void missingTargetIsRemovedWhileStoreIsAvailable() {
-        directory.update(List.of(first, second));
-        directory.update(List.of(first));
+        update(List.of(first, second));
+        update(List.of(first));
         assertThat(registeredEntries(), contains(first));
     }
 
     @Test
     void missingTargetsAreKeptForGracePeriodAfterOutage() {
-        directory.update(List.of(first, second));
-        directory.recordStoreFailure();
+        update(List.of(first, second));
         clock.advance(Duration.ofSeconds(30));
         assertThat(registeredEntries(), containsInAnyOrder(first, second));
-        directory.update(List.of(first));
+        updateAfterOutage(List.of(first));
         assertThat(registeredEntries(), containsInAnyOrder(first, second));
         clock.advance(TargetDirectory.REREGISTRATION_GRACE);
-        directory.update(List.of(first));
+        update(List.of(first));
         assertThat(registeredEntries(), contains(first));
     }
 
     /** Guards against requests to a target that has left, because the grace period of an outage before is not over. */
     @Test
     void targetThatWasListedSinceTheOutageIsDroppedOnceMissing() {
-        directory.update(List.of(first, second));
-        directory.recordStoreFailure();
+        update(List.of(first, second));
         clock.advance(Duration.ofSeconds(3));
-        directory.update(List.of(first, second));
+        updateAfterOutage(List.of(first, second));
         clock.advance(Duration.ofMillis(100));
-        directory.update(List.of(first));
+        update(List.of(first));
         assertThat(registeredEntries(), contains(first));
     }
 
-    /** Guards against targets that are kept for ever by a store that fails every other time. */
+    /** Guards against targets that are kept for ever by a store that fails again and again. */
     @Test
     void graceIsNotBegunAgainByEachFailure() {
-        directory.update(List.of(first, second));
+        update(List.of(first, second));
         for (int i = 0; i < 12; i++) {
-            directory.recordStoreFailure();
             clock.advance(Duration.ofMillis(1_200));
-            directory.update(List.of(first));
+            updateAfterOutage(List.of(first));
             clock.advance(Duration.ofMillis(1_200));
         }
         assertThat(registeredEntries(), contains(first));
@@ -74,52 +79,50 @@
     /** Guards against a leaving target that is used again, because an older write of its entry is carried out late. */
     @Test
     void targetThatWasLeavingIsNeverReadyAgain() {
-        directory.update(List.of(TestTargets.leaving(first)));
-        directory.update(List.of(first));
+        update(List.of(TestTargets.leaving(first)));
+        update(List.of(first));
         assertThat(directory.snapshot().acceptsRequests(first.incarnation()), equalTo(false));
-        directory.update(List.of());
-        directory.update(List.of(first));
+        update(List.of());
+        update(List.of(first));
         assertThat(directory.snapshot().acceptsRequests(first.incarnation()), equalTo(false));
     }
 
     @Test
     void leavingTargetIsRecognizedAfterOutage() {
-        directory.update(List.of(first));
-        directory.recordStoreFailure();
-        directory.update(List.of(TestTargets.leaving(first)));
+        update(List.of(first));
+        updateAfterOutage(List.of(TestTargets.leaving(first)));
         assertThat(directory.snapshot().acceptsRequests(first.incarnation()), equalTo(false));
     }
 
     @Test
     void newIncarnationReplacesOneThatExpiredDuringOutage() {
-        directory.update(List.of(first));
-        directory.recordStoreFailure();
+        update(List.of(first));
         TargetEntry next = TestTargets.restarted(first);
-        directory.update(List.of(next));
+        updateAfterOutage(List.of(next));
         assertThat(registeredEntries(), contains(next));
     }
 
     @Test
     void loadIsKeptForIncarnationAndResetForTheNext() {
-        directory.update(List.of(first));
+        update(List.of(first));
         TargetLoad load = directory.snapshot().pool("engines").getFirst().load();
         load.requestSent(100, false);
-        directory.update(List.of(first));
+        update(List.of(first));
         assertThat(directory.snapshot().pool("engines").getFirst().load(), sameInstance(load));
-        directory.update(List.of(TestTargets.restarted(first)));
+        update(List.of(TestTargets.restarted(first)));
         assertThat(directory.snapshot().pool("engines").getFirst().load().inFlightLoad(), equalTo(InFlightLoad.NONE));
     }
 
     @Test
     void emptyListingClearsPool() {
-        directory.update(List.of(first));
-        directory.update(List.of());
+        update(List.of(first));
+        update(List.of());
         assertThat(registeredEntries(), empty());
     }
 
     @Test
     void weightsLoadedBeforeRestartAreIgnored() {
-        directory.update(List.of(TestTargets.restarted(first), second));
+        update(List.of(TestTargets.restarted(first), second));
         directory.recordLoadedWeights(List.of(
                 new LoadedWeights(first.incarnation(), "m", 2), new LoadedWeights(second.incarnation(), "m", 2)));
         List<Long> weights = directory.snapshot().pool("engines").stream()
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -110,7 +110,7 @@
         private void tick() {
             if (!paused) {
                 operators.tick();
-                directory.update(entries());
+                directory.update(entries(), clock.nanos(), false);
                 rollout.tick();
             }
         }
@@ -330,7 +330,7 @@
         assertThat(newest.isEmpty(), is(false));
         TargetDirectory other = new TargetDirectory(clock);
         other.update(
-                engines.keySet().stream().map(id -> TestTargets.engine(id, 2)).toList());
+                engines.keySet().stream().map(id -> TestTargets.engine(id, 2)).toList(), clock.nanos(), false);
         other.recordLoadedWeights(holder.rollout.recentlyLoaded());
         other.snapshot()
                 .byPool()
