Never send requests again to an incarnation of a target that was leaving

What callers saw: nothing yet; found by a test. A request to a target that has said that it leaves may be cut off. Cause: the directory took the state of each listing as it is. A write of an entry that gets no response may be carried out seconds later, and a target that was seen leaving would be ready again. Why it works: an incarnation that leaves never comes back; only a new one does.

--- a/relay/src/main/java/dev/bluebellshunt/relay/model/TargetEntry.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/model/TargetEntry.java
@@ -44,6 +44,15 @@
         return host + ":" + port;
     }
 
+    /**
+     * Returns this entry as that of a target that is shutting down.
+     *
+     * @return the entry, leaving
+     */
+    public TargetEntry asLeaving() {
+        return new TargetEntry(id, bornMillis, pool, host, port, failureDomain, slots, true, weights);
+    }
+
     /**
      * One run of a target, from its start until its next restart.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SequencedSet;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,10 +31,14 @@
     /** The maximum number of outages in a row that each give a missing target the time to register again. */
     static final int MAX_GRACES = 3;
 
+    /** The maximum number of targets that are remembered as leaving; the first one is forgotten first. */
+    private static final int MAX_LEFT_TARGETS = 4_096;
+
     private static final Logger log = LoggerFactory.getLogger("targets");
 
     private final MonotonicClock clock;
     private final Map<TargetEntry.Incarnation, Grace> missing = new HashMap<>();
+    private final SequencedSet<TargetEntry.Incarnation> left = new LinkedHashSet<>();
     private final Map<TargetEntry.Incarnation, LiveTarget> targets = new LinkedHashMap<>();
     private final Map<TargetEntry.Incarnation, TargetLoad> loads = new HashMap<>();
     private volatile TargetSnapshot snapshot = TargetSnapshot.EMPTY;
@@ -65,7 +71,8 @@
     public void update(List<TargetEntry> listing, long asOfNanos, boolean mayHaveExpired) {
         Map<TargetEntry.Incarnation, LiveTarget> previous = new LinkedHashMap<>(targets);
         targets.clear();
-        for (TargetEntry entry : listing) {
+        for (TargetEntry listed : listing) {
+            TargetEntry entry = rememberLeaving(listed);
             TargetLoad load = loads.computeIfAbsent(entry.incarnation(), i -> new TargetLoad(clock));
             LiveTarget known = previous.remove(entry.incarnation());
             if (known == null) {
@@ -99,6 +106,21 @@
         publishSnapshot();
     }
 
+    /**
+     * Returns the entry of a target, which is leaving once it has been. A write of an entry may be carried out after later
+     * ones.
+     */
+    private TargetEntry rememberLeaving(TargetEntry entry) {
+        if (entry.leaving()) {
+            left.add(entry.incarnation());
+            if (left.size() > MAX_LEFT_TARGETS) {
+                left.removeFirst();
+            }
+            return entry;
+        }
+        return left.contains(entry.incarnation()) ? entry.asLeaving() : entry;
+    }
+
     /** Returns whether a target that is missing in a listing still has time to register again. */
     private boolean isInGrace(TargetEntry.Incarnation incarnation, long asOfNanos, boolean mayHaveExpired) {
         Grace grace = missing.get(incarnation);
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TestTargets.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TestTargets.java
@@ -17,16 +17,7 @@
     }
 
     public static TargetEntry leaving(TargetEntry entry) {
-        return new TargetEntry(
-                entry.id(),
-                entry.bornMillis(),
-                entry.pool(),
-                entry.host(),
-                entry.port(),
-                entry.failureDomain(),
-                entry.slots(),
-                true,
-                entry.weights());
+        return entry.asLeaving();
     }
 
     public static TargetEntry restarted(TargetEntry entry) {
