Check that a target still accepts requests right before a request is written to it

What callers saw: nothing yet; found by a test. A request that waits for a connection could reach a target that had begun to leave meanwhile, and be cut off. Cause: the target was looked up when it was chosen, and the connection may come much later (an attempt to connect is repeated after a second when packets are lost). Evidence: RelayHandlerTests#requestIsNotSentToTargetThatBeginsToLeaveAfterItWasChosen failed before: the target got the request. Why it works: the exchange asks again when its connection begins to write; a request that fails there has not been sent, so it goes to another target, on requests sent again too.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -324,6 +324,9 @@
         try (TargetExchange exchange = new TargetExchange(
                 context.httpClient(),
                 target.entry(),
+                () -> context.targetDirectory()
+                        .snapshot()
+                        .acceptsRequests(target.entry().incarnation()),
                 caller.outgoing(),
                 TargetRequestHeaders.build(context, caller, target, late, timeout),
                 timeout)) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -30,15 +30,36 @@
     private final AtomicBoolean requestBegun = new AtomicBoolean();
     private final Duration timeout;
 
+    /**
+     * Prepares a request.
+     *
+     * @param httpClient the client
+     * @param target the target
+     * @param mayBegin asked right before the request is written to a connection; false fails it unsent
+     * @param outgoing the request
+     * @param headers the headers for the target
+     * @param timeout the time after which the exchange is aborted
+     */
     TargetExchange(
-            HttpClient httpClient, TargetEntry target, OutgoingRequest outgoing, HttpFields headers, Duration timeout) {
+            HttpClient httpClient,
+            TargetEntry target,
+            BooleanSupplier mayBegin,
+            OutgoingRequest outgoing,
+            HttpFields headers,
+            Duration timeout) {
         this.timeout = timeout;
         this.request = httpClient
                 .newRequest(target.host(), target.port())
                 .path(outgoing.pathAndQuery())
                 .method(outgoing.method())
                 .headers(fields -> fields.add(headers))
-                .onRequestBegin(r -> requestBegun.set(true))
+                .onRequestBegin(r -> {
+                    if (mayBegin.getAsBoolean()) {
+                        requestBegun.set(true);
+                    } else {
+                        abort(new IOException("the target has begun to leave"));
+                    }
+                })
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
         if (outgoing.body().length > 0) {
             String type = headers.get(HttpHeader.CONTENT_TYPE);
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -29,6 +29,7 @@
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
+import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.telemetry.DecisionLog;
@@ -94,6 +95,7 @@
     private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, () -> false);
     private final TargetDirectory directory = new TargetDirectory(clock);
     private final CrashSuspects crashSuspects = new CrashSuspects(clock);
+    private final TestHeaderCodec headerCodec = new TestHeaderCodec();
     private final PeerReportTable peerReports = new PeerReportTable(clock, Duration.ofSeconds(8));
     private final Queue<ScriptedResponse> scriptedResponses = new ConcurrentLinkedQueue<>();
     private final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
@@ -227,7 +229,7 @@
                         new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 50),
                         Duration.ofSeconds(8),
                         peerReports),
-                new TestHeaderCodec(),
+                headerCodec,
                 HttpClients.start("targets", closer),
                 new DrainState(clock),
                 new DecisionLog(clock),
@@ -261,6 +263,14 @@
         directory.update(entries, clock.nanos(), false);
     }
 
+    private void markLeaving(String targetId) {
+        List<TargetEntry> entries = directory.snapshot().pool("apps").stream()
+                .map(LiveTarget::entry)
+                .map(entry -> entry.id().equals(targetId) ? entry.asLeaving() : entry)
+                .toList();
+        directory.update(entries, clock.nanos(), false);
+    }
+
     private static RelayRoute route(String prefix, RouteKind kind, boolean anonymous) {
         return new RelayRoute(
                 "r",
@@ -372,6 +382,22 @@
         assertThat(receivedRequests, hasSize(1));
     }
 
+    /** Guards against a request that waits for a connection, and is sent to a target that has begun to leave meanwhile. */
+    @Test
+    void requestIsNotSentToTargetThatBeginsToLeaveAfterItWasChosen() throws Exception {
+        configure();
+        Queue<String> chosenTargets = new ConcurrentLinkedQueue<>();
+        headerCodec.onTargetChosen(target -> {
+            if (chosenTargets.isEmpty()) {
+                markLeaving(target);
+            }
+            chosenTargets.add(target);
+        });
+        assertThat(get("/once/").getStatus(), equalTo(200));
+        assertThat(receivedRequests, hasSize(1));
+        assertThat(receivedRequests.element().headers().get("t-target"), not(equalTo(chosenTargets.remove())));
+    }
+
     @Test
     void requestNotExecutedByTargetIsRetriedOnAnother() throws Exception {
         configure();
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
@@ -6,11 +6,19 @@
 import dev.bluebellshunt.relay.proxy.TargetResponseMetadata;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Header codec with header names that are used only in tests. */
 public final class TestHeaderCodec implements HeaderCodec {
 
+    private volatile Consumer<String> targetChosen = target -> {};
+
+    /** Sets what happens after a target has been chosen for a request, and before the request is sent. */
+    public void onTargetChosen(Consumer<String> action) {
+        targetChosen = action;
+    }
+
     @Override
     public CallerRequestMetadata readCallerHeaders(HttpFields headers) {
         String timeoutMillis = headers.get("t-timeout");
@@ -32,6 +40,7 @@
 
     @Override
     public void writeTargetHeaders(HttpFields.Mutable headers, TargetRequestMetadata metadata) {
+        targetChosen.accept(metadata.targetId());
         headers.put("t-target", metadata.targetId());
         headers.put("t-timeout", Long.toString(metadata.timeout().toMillis()));
         if (metadata.workspace() != null) {
