Report the requests with most crashes first

What callers saw: nothing yet; found by a test. A request that crashes targets could be sent on by VMs that do not learn of its crashes. Cause: a report holds 100 requests, the newest ones. Where targets crash with full slots, the many requests that ran beside the crashing one displaced it. Evidence: CrashSuspectsTests#reportHasRequestsWithMostCrashesFirst failed before: 100 requests with one crash each, and not the one with two. Why it works: the crashing request has a crash for each target; those that ran beside it rarely more than one.

--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -4,6 +4,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -194,12 +195,12 @@
     }
 
     /**
-     * Returns the most recently recorded crashes known to this VM, to be sent to peers.
+     * Returns the crashes known to this VM, to be sent to peers.
      *
      * @return for each fingerprint, the failure domains of crashed targets by target name
      */
     public synchronized Map<Long, Map<String, String>> report() {
-        return newestCrashes(entry -> true);
+        return mostCrashes(entry -> true);
     }
 
     /**
@@ -220,7 +221,7 @@
             }
         });
         return new CrashReport(
-                newestCrashes(entry -> isQuarantined(entry) || entry.lastCrashNanos - oldestNanos >= 0), cleared);
+                mostCrashes(entry -> isQuarantined(entry) || entry.lastCrashNanos - oldestNanos >= 0), cleared);
     }
 
     /**
@@ -229,21 +230,19 @@
      * @return for each fingerprint, the failure domains of crashed targets by target name
      */
     public synchronized Map<Long, Map<String, String>> observedQuarantines() {
-        return newestCrashes(entry -> isQuarantined(entry) && entry.observed);
+        return mostCrashes(entry -> isQuarantined(entry) && entry.observed);
     }
 
-    private Map<Long, Map<String, String>> newestCrashes(Predicate<Entry> condition) {
-        Map<Long, Map<String, String>> report = new HashMap<>();
-        for (Map.Entry<Long, Entry> row : entries.sequencedEntrySet().reversed()) {
-            Entry entry = row.getValue();
-            if (report.size() >= MAX_REPORT_ENTRIES) {
-                break;
-            }
-            if (!entry.crashes.isEmpty() && !entry.expiry.hasPassed(clock) && condition.test(entry)) {
-                report.put(row.getKey(), entry.failureDomains());
-            }
-        }
-        return report;
+    /** Returns the crashes of the requests with most of them, and of the newest ones among equals. */
+    private Map<Long, Map<String, String>> mostCrashes(Predicate<Entry> condition) {
+        return entries.sequencedEntrySet().reversed().stream()
+                .filter(row -> !row.getValue().crashes.isEmpty()
+                        && !row.getValue().expiry.hasPassed(clock)
+                        && condition.test(row.getValue()))
+                .sorted(Comparator.comparingInt(row -> -row.getValue().crashes.size()))
+                .limit(MAX_REPORT_ENTRIES)
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey, row -> row.getValue().failureDomains()));
     }
 
     /**
--- a/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
@@ -203,4 +203,16 @@
         clock.advance(CrashSuspects.ENTRY_TTL);
         assertThat(suspects.status(CrashSuspects.MAX_ENTRIES), equalTo(Status.CLEAR));
     }
+
+    /** Guards against a request that crashes targets and is left out of the report, since many others ran beside it. */
+    @Test
+    void reportHasRequestsWithMostCrashesFirst() {
+        crash("a", "b");
+        for (long innocent = 100; innocent < 100 + 2 * CrashSuspects.MAX_REPORT_ENTRIES; innocent++) {
+            suspects.recordCrash("c", "fd-1", List.of(innocent));
+        }
+        Map<Long, Map<String, String>> recent = suspects.recentReport(SECOND).crashes();
+        assertThat(recent, aMapWithSize(CrashSuspects.MAX_REPORT_ENTRIES));
+        assertThat(recent, hasKey(FINGERPRINT));
+    }
 }
