Count a crash of a target whose earlier crash was taken back

What callers saw: nothing yet; found by a test. A request that crashes targets could crash one target more for each target that it had only lost a connection to before. Cause: VMs keep the names of cleared crashes, so that late reports do not bring them back. A name was that of the target, so a real crash later was taken for such a report, on all VMs. Evidence: CrashSuspectsTests#crashAfterDisprovedOneCountsOnAllVms failed before (suspect in place of quarantined). Why it works: each further crash of a target under a request has a name of its own. Expired entries are removed on the way, and the names of observed targets are bounded.

--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -53,6 +53,8 @@
     /** How long an entry is kept after its last recorded crash; exceeds the longest quarantine. */
     static final Duration ENTRY_TTL = Duration.ofMinutes(31);
 
+    private static final char CRASH_NUMBER_SEPARATOR = '#';
+
     private final MonotonicClock clock;
     private final SequencedMap<Long, Entry> entries = new LinkedHashMap<>();
 
@@ -120,7 +122,9 @@
      */
     public synchronized Set<String> crashedTargets(long fingerprint) {
         Entry entry = unexpiredEntry(fingerprint);
-        return entry == null ? Set.of() : Set.copyOf(entry.crashes.keySet());
+        return entry == null
+                ? Set.of()
+                : entry.crashes.keySet().stream().map(CrashSuspects::targetOf).collect(Collectors.toSet());
     }
 
     /**
@@ -182,7 +186,7 @@
                 continue;
             }
             if (openSinceNanos - observation.sentNanos() <= 0 && observation.recordedNanos() - sentNanos < 0) {
-                entry.clear(target::equals, clock.nanos());
+                entry.clear(name -> targetOf(name).equals(target), clock.nanos());
                 cleared.add(row.getKey());
             } else {
                 observed = true;
@@ -284,12 +288,13 @@
         boolean changed = false;
         boolean observed = false;
         for (Map.Entry<String, Crash> crash : crashes.entrySet()) {
-            if (entry.cleared.contains(crash.getKey())
-                    || entry.crashes.putIfAbsent(crash.getKey(), crash.getValue()) != null) {
+            boolean observedHere = crash.getValue().observation() != null;
+            String name = observedHere ? entry.nameOfNextCrash(crash.getKey()) : crash.getKey();
+            if (entry.cleared.contains(name) || entry.crashes.putIfAbsent(name, crash.getValue()) != null) {
                 continue;
             }
             changed = true;
-            if (crash.getValue().observation() != null) {
+            if (observedHere) {
                 observed = true;
                 observedTargets.add(crash.getKey());
             }
@@ -304,12 +309,28 @@
         entry.quarantineEnd = Deadline.after(clock, observed ? quarantine : quarantine.plus(PEER_QUARANTINE_MARGIN));
         entries.remove(fingerprint);
         entries.put(fingerprint, entry);
-        if (entries.size() > MAX_ENTRIES) {
-            entries.remove(entries.keySet().iterator().next());
-        }
+        removeOldEntries();
         empty = false;
     }
 
+    private void removeOldEntries() {
+        while (entries.size() > MAX_ENTRIES
+                || entries.firstEntry().getValue().expiry.hasPassed(clock)) {
+            entries.pollFirstEntry();
+        }
+        if (observedTargets.size() > MAX_ENTRIES) {
+            observedTargets.retainAll(entries.values().stream()
+                    .flatMap(entry -> entry.crashes.keySet().stream())
+                    .map(CrashSuspects::targetOf)
+                    .collect(Collectors.toSet()));
+        }
+    }
+
+    private static String targetOf(String crashName) {
+        int separator = crashName.lastIndexOf(CRASH_NUMBER_SEPARATOR);
+        return separator < 0 ? crashName : crashName.substring(0, separator);
+    }
+
     private static Duration quarantine(int crashes) {
         Duration quarantine = INITIAL_QUARANTINE;
         for (int i = TARGETS_UNTIL_QUARANTINE; i < crashes && quarantine.compareTo(MAX_QUARANTINE) < 0; i++) {
@@ -359,9 +380,10 @@
     private record Observation(long sentNanos, long recordedNanos) {}
 
     private static final class Entry {
+        /** The crashes by name: that of the target, with a number from the second one on. */
         private final Map<String, Crash> crashes = new HashMap<>();
 
-        /** Targets whose crashes are not counted again when peers still report them. */
+        /** Names of crashes that are not counted again when peers still report them. */
         private final Set<String> cleared = new HashSet<>();
 
         private boolean observed;
@@ -385,9 +407,23 @@
             return removed;
         }
 
+        /** Returns the name of the next crash of a target, since its previous ones may have been cleared. */
+        private String nameOfNextCrash(String target) {
+            String name = target;
+            for (int number = 2; cleared.contains(name); number++) {
+                name = target + CRASH_NUMBER_SEPARATOR + number;
+            }
+            return name;
+        }
+
+        /** Returns when this VM observed a crash of a target that has not been cleared, or null if it has not. */
         private @Nullable Observation observation(String target) {
-            Crash crash = crashes.get(target);
-            return crash == null ? null : crash.observation();
+            for (Map.Entry<String, Crash> crash : crashes.entrySet()) {
+                if (targetOf(crash.getKey()).equals(target)) {
+                    return crash.getValue().observation();
+                }
+            }
+            return null;
         }
 
         private Map<String, String> failureDomains() {
--- a/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
@@ -215,4 +215,21 @@
         assertThat(recent, aMapWithSize(CrashSuspects.MAX_REPORT_ENTRIES));
         assertThat(recent, hasKey(FINGERPRINT));
     }
+
+    /** Guards against a target whose crash never counts, because a lost connection to it was no crash before. */
+    @Test
+    void crashAfterDisprovedOneCountsOnAllVms() {
+        CrashSuspects peer = new CrashSuspects(clock);
+        long opened = clock.nanos();
+        crash("a");
+        peer.mergeReport(suspects.recentReport(SECOND));
+        clock.advance(SECOND);
+        suspects.recordResponse("a", opened, clock.nanos());
+        peer.mergeReport(suspects.recentReport(SECOND));
+        crash("a", "b", "c");
+        peer.mergeReport(suspects.recentReport(SECOND));
+        assertThat(suspects.status(FINGERPRINT), equalTo(Status.QUARANTINED));
+        assertThat(peer.status(FINGERPRINT), equalTo(Status.QUARANTINED));
+        assertThat(peer.crashedTargets(FINGERPRINT), equalTo(Set.of("a", "b", "c")));
+    }
 }
