Identify a request that crashes targets by its workspace, path and body alone

What callers saw: nothing yet; found by a test. A caller that reaches the service under several host names, or by several methods, could crash three targets with each. Cause: host and method were part of the fingerprint, so one request counted as several. Evidence: RelayHandlerTests#requestToOtherHostNameIsTheSameRequest, 6 sends with the host in the fingerprint, 3 without (bound 3). Why it works: what the platform calls the same request has the same path, caller and body. Ruled out: leaving out the query too; a lookup names its subject there, and all lookups of a workspace would share their crashes.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -97,8 +97,8 @@
     }
 
     /**
-     * Returns a hash of the workspace and the content of the request. It stays the same when the caller sends the
-     * request again under a new id, to this VM or another.
+     * Returns a hash of the workspace, path and body of the request. It stays the same when the caller sends the request
+     * again under a new id, to this VM or another, or under another host name.
      */
     long fingerprint() {
         Long known = fingerprint;
@@ -110,8 +110,6 @@
         long computed = Hashing.komihash5_0()
                 .hashStream()
                 .putString(callersWorkspace == null ? "" : callersWorkspace.name())
-                .putString(host())
-                .putString(content.method())
                 .putString(content.pathAndQuery())
                 .putByteArray(content.body())
                 .getAsLong();
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -272,9 +272,13 @@
     }
 
     private static RelayRoute route(String prefix, RouteKind kind, boolean anonymous) {
+        return route("h.example", prefix, kind, anonymous);
+    }
+
+    private static RelayRoute route(String host, String prefix, RouteKind kind, boolean anonymous) {
         return new RelayRoute(
                 "r",
-                "h.example",
+                host,
                 prefix,
                 kind,
                 Duration.ofSeconds(15),
@@ -293,7 +297,8 @@
                         route("/once/", RouteKind.ONCE, false),
                         route("/safe/", RouteKind.IDEMPOTENT, false),
                         route("/stream/", RouteKind.STREAM, false),
-                        route("/open/", RouteKind.IDEMPOTENT, true)),
+                        route("/open/", RouteKind.IDEMPOTENT, true),
+                        route("other.example", "/once/", RouteKind.ONCE, false)),
                 Map.of("apps", new PoolSpec("apps", 0, null)),
                 Map.of(
                         "w", new RelayWorkspace("w", 0, false, false, 1, 0, 0),
@@ -747,6 +752,23 @@
         assertThat(other.timeout(WAIT_SECONDS, TimeUnit.SECONDS).send().getStatus(), equalTo(200));
     }
 
+    /** Guards against a request that crashes targets and is sent on, because its caller uses several names of the host. */
+    @Test
+    void requestToOtherHostNameIsTheSameRequest() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 6; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            String host = repetition % 2 == 0 ? "h.example" : "other.example";
+            request("/once/deadly")
+                    .headers(headers -> headers.put("host", host))
+                    .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                    .send();
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests, hasSize(3));
+    }
+
     /** Guards against a quarantine by lost connections alone, while the request also completes. */
     @Test
     void requestThatCompletesInBetweenIsNotStopped() throws Exception {
