Clear the crashes of a request in the router only after a successful response with a marked end

A request that crashes targets was sent on. An error response of an application to a request that may run once, an error response of an engine below 500, and a response without framing cleared the crashes of the request. Evidence: ApplicationCrashTests, 8 crashes after 500 responses, 8 and 16 after responses without framing, in 12 repetitions (bound 3); 3 or fewer now. Streams end with an event of their own, and clear as before. Not tested for engines: error responses below 500 and JSON without framing, by reading only.

--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -260,7 +261,9 @@
             }
             String contentType = response.headers().get(HttpHeader.CONTENT_TYPE);
             responseReceived = true;
-            support.crashSuspects().recordCompletion(fingerprint);
+            if (HttpStatus.isSuccess(response.status()) && response.marksEnd()) {
+                support.crashSuspects().recordCompletion(fingerprint);
+            }
             return new AttemptResult.Completed(new BufferedResponse(
                     response.status(), contentType == null ? "application/octet-stream" : contentType, body));
         } catch (IOException e) {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -54,6 +54,10 @@
     private final Set<String> excludedTargets = new HashSet<>();
     private @Nullable String pinnedWeightsVersion;
     private long bufferedResponseTokens;
+
+    /** Whether the response shows that a target ran the request to its end. */
+    private boolean ranToItsEnd;
+
     private int priority;
 
     /**
@@ -172,10 +176,10 @@
         try {
             ShuntException failure = sendAndForward(choice, span);
             result = failure == null ? "ok" : failure.code().wireName();
-            if (failure == null) {
-                support.crashSuspects().recordCompletion(fingerprint);
-            } else {
+            if (failure != null) {
                 recordFailure(target, failure);
+            } else if (ranToItsEnd) {
+                support.crashSuspects().recordCompletion(fingerprint);
             }
             return failure;
         } finally {
@@ -295,6 +299,7 @@
             }
             batch.writeBytes(event.toBytes());
             if (action == StreamProgress.EventAction.END) {
+                ranToItsEnd = true;
                 writeBatch(batch, true);
                 return null;
             }
@@ -334,6 +339,7 @@
         }
         if (response.status() < FIRST_ERROR_STATUS) {
             bufferedResponseTokens = CompletionUsage.completionTokens(body);
+            ranToItsEnd = response.marksEnd();
         }
         String contentType = response.headers().get(HttpHeader.CONTENT_TYPE);
         callerResponse.start(
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
@@ -8,6 +8,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.transport.HardTimeout;
 import dev.bluebellshunt.transport.ResponseBody;
+import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.InputStream;
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
@@ -108,6 +109,11 @@
             return response.getHeaders();
         }
 
+        @Override
+        public boolean marksEnd() {
+            return ResponseFraming.of(response).marksEnd();
+        }
+
         @Override
         public void close() {
             abort(request, new CancellationException("the rest of the response is not needed"));
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/TargetResponse.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/TargetResponse.java
@@ -27,6 +27,13 @@
      */
     InputStream body();
 
+    /**
+     * Returns whether the end of the complete body differs from that of a truncated one.
+     *
+     * @return false if both end with the connection
+     */
+    boolean marksEnd();
+
     /** Ends the exchange. If the body was not read to its end, the request is cancelled. */
     @Override
     void close();
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/ApplicationCrashTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ApplicationCrashTests.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.bluebellshunt.core.error.ErrorCode;
@@ -14,7 +15,9 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -23,6 +26,12 @@
 
     private static final Duration PAUSE = Duration.ofSeconds(3);
 
+    private Supplier<TargetResponse> everyThirdResponse = () -> {
+        throw new IllegalStateException("no response is scripted");
+    };
+    private int crashes;
+    private int sends;
+
     private final ProxyTestHarness harness = new ProxyTestHarness(
             new InMemoryKeyValueStore(),
             (owner, attempt) -> CompletableFuture.completedFuture(AttemptStatus.UNKNOWN),
@@ -30,6 +39,14 @@
                 if (request.pathAndQuery().equals("/deadly")) {
                     throw ProxyTestHarness.connectionReset(target);
                 }
+                if (request.pathAndQuery().equals("/mostly-deadly")) {
+                    sends++;
+                    if (sends % 3 == 0) {
+                        return everyThirdResponse.get();
+                    }
+                    crashes++;
+                    throw ProxyTestHarness.connectionReset(target);
+                }
                 return ProxyTestHarness.response(200, HttpFields.EMPTY, "done", false);
             },
             3);
@@ -58,4 +75,35 @@
         send("/harmless", idempotent, "other");
         assertThat(harness.sentRequests, hasSize(4));
     }
+
+    private int countCrashes(boolean idempotent, Supplier<TargetResponse> thirdResponse) {
+        everyThirdResponse = thirdResponse;
+        for (int repetition = 0; repetition < 12; repetition++) {
+            try {
+                send("/mostly-deadly", idempotent, "key-" + repetition);
+            } catch (Exception e) {
+                harness.clock.advance(PAUSE);
+            }
+        }
+        return crashes;
+    }
+
+    /** Guards against a request that crashes applications and is sent on, because one answers it with an error in between. */
+    @Test
+    void errorResponseDoesNotClearCrashes() {
+        assertThat(
+                "crashes",
+                countCrashes(false, () -> ProxyTestHarness.response(500, HttpFields.EMPTY, "error", false)),
+                lessThanOrEqualTo(3));
+    }
+
+    /** Guards against a request that crashes applications and is sent on, because a truncated response looks complete. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void responseWithoutFramingDoesNotClearCrashes(boolean idempotent) {
+        assertThat(
+                "crashes",
+                countCrashes(idempotent, () -> ProxyTestHarness.responseWithoutFraming("some of the bytes")),
+                lessThanOrEqualTo(3));
+    }
 }
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
@@ -185,12 +185,20 @@
         return new ScriptedResponse(
                 status,
                 headers,
-                resetAfterBody ? new SequenceInputStream(bodyStream, new ResetInputStream()) : bodyStream);
+                resetAfterBody ? new SequenceInputStream(bodyStream, new ResetInputStream()) : bodyStream,
+                true);
+    }
+
+    /** Returns a successful response that ends with its connection. */
+    static TargetResponse responseWithoutFraming(String body) {
+        return new ScriptedResponse(
+                200, HttpFields.EMPTY, new ByteArrayInputStream(body.getBytes(StandardCharsets.UTF_8)), false);
     }
 
     record SentRequest(String target, TargetRequest request) {}
 
-    private record ScriptedResponse(int status, HttpFields headers, InputStream body) implements TargetResponse {
+    private record ScriptedResponse(int status, HttpFields headers, InputStream body, boolean marksEnd)
+            implements TargetResponse {
         @Override
         public void close() {}
     }
