Count crashes of targets also against requests that the VM no longer waited for

What callers saw: nothing known; found by a test. A request that crashes targets is sent on for as long as its callers leave, or the relay gives it up, before the end of the target shows. Cause: a crash counted only against requests whose own connection was lost while somebody waited for the response.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -14,6 +14,7 @@
 import dev.bluebellshunt.transport.ResponseBody;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
@@ -73,6 +74,10 @@
     private boolean retryReserved;
     private long sentNanos;
     private boolean responseBegun;
+
+    /** Whether the last target is known to have ended the request, or not to have begun it. */
+    private boolean outcomeKnown;
+
     private boolean late;
     private String result = "ok";
     private String lastTarget = "none";
@@ -228,7 +233,7 @@
         if (connection == null) {
             return;
         }
-        long openSinceNanos = target.load().openSinceNanos(connection);
+        long openSinceNanos = target.load().evidence().recordResponse(connection, sentNanos);
         if (context.crashSuspects().isEmpty()) {
             return;
         }
@@ -251,25 +256,39 @@
 
     /** Records a crash of a target that ran the request. */
     private void recordSuspectedCrash(LiveTarget target) {
+        outcomeKnown = true;
+        recordCrash(target, caller.fingerprint(), sentNanos);
+        recordCrashOfUnresolved(target);
+    }
+
+    /** Records a crash of a target against the requests that this VM stopped waiting for before it showed. */
+    private void recordCrashOfUnresolved(LiveTarget target) {
+        target.load()
+                .evidence()
+                .drainUnresolved()
+                .forEach(unresolved -> recordCrash(target, unresolved.fingerprint(), unresolved.sentNanos()));
+    }
+
+    private void recordCrash(LiveTarget target, long fingerprint, long requestSentNanos) {
         context.crashSuspects()
                 .recordCrash(
                         target.entry().incarnation().name(),
                         target.entry().failureDomain(),
-                        caller.fingerprint(),
-                        sentNanos);
+                        fingerprint,
+                        requestSentNanos);
         context.metrics().crash("recorded");
         context.decisionLog()
                 .write(
                         "crash_recorded",
                         requestId(),
                         "fingerprint",
-                        Long.toHexString(caller.fingerprint()),
+                        Long.toHexString(fingerprint),
                         "target",
                         lastTarget,
                         "target_born_ms",
                         lastTargetBornMillis,
                         "crashed_targets",
-                        context.crashSuspects().crashedTargets(caller.fingerprint()));
+                        context.crashSuspects().crashedTargets(fingerprint));
     }
 
     private PoolTargetSelector.Request targetRequirements() {
@@ -321,6 +340,7 @@
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         responseBegun = false;
+        outcomeKnown = false;
         try (TargetExchange exchange = new TargetExchange(
                 context.httpClient(),
                 target.entry(),
@@ -333,6 +353,9 @@
             setExchange(exchange);
             return processExchange(target, route, exchange);
         } finally {
+            if (!outcomeKnown) {
+                target.load().evidence().recordUnresolved(caller.fingerprint(), sentNanos);
+            }
             target.load().requestEnded(tokens, late, responseBegun);
             setExchange(null);
         }
@@ -381,6 +404,7 @@
             target.load().recordWeights(model, weightsVersion);
         }
         if (metadata.notRun() || metadata.targetMismatch() || metadata.weightsMismatch()) {
+            outcomeKnown = true;
             rejectedAttempts++;
             if (metadata.weightsMismatch() && weightsVersion != null) {
                 attemptedTargets.remove(lastTarget);
@@ -409,6 +433,7 @@
             target.load().requestFailed();
             return false;
         }
+        outcomeKnown = !HttpStatus.isSuccess(response.getStatus());
         if (response.getStatus() >= SERVER_ERROR_STATUS) {
             target.load().requestFailed();
             if (route.kind() == RouteKind.IDEMPOTENT
@@ -443,6 +468,11 @@
         boolean connectionLost = !failure.isTimeout() && !failure.isAbandoned() && !isCallerDisconnected();
         if (failure.isRequestSent() && (connectionLost || target.load().isStalled())) {
             recordSuspectedCrash(target);
+        } else if (!failure.isRequestSent()) {
+            outcomeKnown = true;
+            if (failure.getCause() instanceof ConnectException) {
+                recordCrashOfUnresolved(target);
+            }
         }
         if (isCallerDisconnected()) {
             target.load().requestAbandoned();
@@ -504,6 +534,7 @@
         } else {
             copyStream(firstBytes, body, buffer, target, exchange);
         }
+        outcomeKnown = true;
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
         recordResponseEnd(body);
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -25,7 +25,7 @@
     private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
     private final MonotonicClock clock;
-    private final ConnectionTimes connectionTimes;
+    private final ProcessEvidence evidence;
     private final Map<String, Long> weightsVersions = new HashMap<>();
     private int openRequests;
     private long openTokens;
@@ -43,7 +43,7 @@
      */
     public TargetLoad(MonotonicClock clock) {
         this.clock = clock;
-        this.connectionTimes = new ConnectionTimes(clock);
+        this.evidence = new ProcessEvidence(clock);
         this.backoffDeadline = new Deadline(clock.nanos());
         this.overloadDeadline = backoffDeadline;
     }
@@ -153,13 +153,12 @@
     }
 
     /**
-     * Returns a time since which a connection to the target has been open.
+     * Returns what this VM knows about the process of the target.
      *
-     * @param connection a connection on which the target responds
-     * @return the clock reading of the first call for this connection
+     * @return the evidence
      */
-    public long openSinceNanos(Object connection) {
-        return connectionTimes.openSinceNanos(connection);
+    public ProcessEvidence evidence() {
+        return evidence;
     }
 
     /**
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -43,6 +43,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
@@ -820,9 +821,9 @@
         assertThat("crashes", countCrashes(closeAfter("", "some of the bytes")), lessThanOrEqualTo(3));
     }
 
-    private void registerOneTarget() {
+    private void registerOneTarget(long bornMillis, int targetPort) {
         TargetEntry target =
-                new TargetEntry("t0", 1, "apps", "127.0.0.1", targetPorts.getFirst(), "fd-1", 6, false, Map.of());
+                new TargetEntry("t0", bornMillis, "apps", "127.0.0.1", targetPort, "fd-1", 6, false, Map.of());
         directory.update(List.of(target), clock.nanos(), false);
     }
 
@@ -855,11 +856,67 @@
         clock.advance(Duration.ofSeconds(1));
     }
 
+    /** Lets a caller leave while a target runs its request, and then ends the target. Returns whether the target got it. */
+    private boolean leaveBeforeTargetEnds(int bornMillis) throws Exception {
+        try (ServerSocket target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            target.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            registerOneTarget(bornMillis, target.getLocalPort());
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+                caller.getOutputStream()
+                        .write(
+                                "GET /once/deadly HTTP/1.1\r\nHost: h.example\r\nt-id: id-1\r\nauthorization: secret\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                CompletableFuture<Socket> accepted = new CompletableFuture<>();
+                Thread.ofVirtual().start(() -> {
+                    try {
+                        accepted.complete(target.accept());
+                    } catch (IOException e) {
+                        accepted.completeExceptionally(e);
+                    }
+                });
+                CompletableFuture<Integer> answered = new CompletableFuture<>();
+                Thread.ofVirtual().start(() -> {
+                    try {
+                        answered.complete(caller.getInputStream().read());
+                    } catch (IOException e) {
+                        answered.completeExceptionally(e);
+                    }
+                });
+                CompletableFuture.anyOf(accepted, answered).get(WAIT_SECONDS, TimeUnit.SECONDS);
+                if (!accepted.isDone()) {
+                    return false;
+                }
+                try (Socket connection = accepted.join()) {
+                    connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+                    assertThat(connection.getInputStream().read(), equalTo((int) 'G'));
+                    caller.shutdownOutput();
+                    connection.getInputStream().readAllBytes();
+                }
+            }
+        }
+        // Connections to the target that has ended are refused.
+        clock.advance(Duration.ofMillis(1));
+        assertThat(get("/once/other").getStatus(), equalTo(503));
+        return true;
+    }
+
+    /** Guards against a request that crashes targets and is sent on, because its callers leave before the targets end. */
+    @Test
+    void requestWhoseCallersLeaveBeforeTargetsEndIsNotSentAgain() throws Exception {
+        configure();
+        int sends = 0;
+        for (int repetition = 1; repetition <= 6; repetition++) {
+            sends += leaveBeforeTargetEnds(repetition) ? 1 : 0;
+        }
+        assertThat("sends", sends, equalTo(3));
+    }
+
     /** Guards against requests that are quarantined because targets close connections, without a crash. */
     @Test
     void responseOnConnectionFromBeforeSuspectedCrashDisprovesIt() throws Exception {
         configure();
-        registerOneTarget();
+        registerOneTarget(1, targetPorts.getFirst());
         openTwoConnections();
         loseConnection();
         assertThat(get("/once/next").getStatus(), equalTo(200));
@@ -869,7 +926,7 @@
     @Test
     void responseOnNewConnectionDoesNotDisproveCrash() throws Exception {
         configure();
-        registerOneTarget();
+        registerOneTarget(1, targetPorts.getFirst());
         loseConnection();
         assertThat(get("/once/next").getStatus(), equalTo(200));
         assertThat("crashes", crashSuspects.report().size(), equalTo(1));
