--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CrashTracker.java
@@ -0,0 +1,155 @@
+package dev.bluebellshunt.relay.proxy;
+
+import dev.bluebellshunt.relay.target.LiveTarget;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells the table of crashes what became of one request at its targets, and asks it whether the request may run.
+ *
+ * <p>Each attempt ends in one of three ways: its outcome is known, its target has crashed, or neither, in which case
+ * the target may still crash because of it. Confined to the thread of the request.
+ */
+final class CrashTracker {
+
+    private final RelayContext context;
+    private final CallerRequest caller;
+    private @Nullable LiveTarget unresolvedTarget;
+    private long sentNanos;
+
+    CrashTracker(RelayContext context, CallerRequest caller) {
+        this.context = context;
+        this.caller = caller;
+    }
+
+    /** Returns how long the request must not run, because several targets crashed under it here or at other VMs. */
+    Duration quarantine() {
+        if (context.crashSuspects().isEmpty()) {
+            return Duration.ZERO;
+        }
+        Duration quarantine = context.crashSuspects().acquireRun(caller.fingerprint());
+        if (!quarantine.isZero()) {
+            context.decisionLog()
+                    .write(
+                            "quarantined",
+                            caller.requestId(),
+                            "fingerprint",
+                            Long.toHexString(caller.fingerprint()),
+                            "crashed_targets",
+                            context.crashSuspects().crashedTargets(caller.fingerprint()),
+                            "remaining_ms",
+                            quarantine.toMillis());
+        }
+        return quarantine;
+    }
+
+    /** Records that the request is about to be sent to a target. */
+    void recordSent(LiveTarget target, long newSentNanos) {
+        unresolvedTarget = target;
+        sentNanos = newSentNanos;
+    }
+
+    /** Records that the target has ended the request, or has not begun it. */
+    void recordOutcomeKnown() {
+        unresolvedTarget = null;
+    }
+
+    /** Records a response of the target to this request, and takes back crashes that it disproves. */
+    void recordResponse(LiveTarget target, Optional<Object> connection) {
+        if (connection.isEmpty()) {
+            return;
+        }
+        long openSinceNanos = target.load().evidence().recordResponse(connection.get(), sentNanos);
+        if (context.crashSuspects().isEmpty()) {
+            return;
+        }
+        Set<Long> cleared = context.crashSuspects()
+                .recordResponse(target.entry().incarnation().name(), openSinceNanos, sentNanos);
+        if (cleared.isEmpty()) {
+            return;
+        }
+        context.metrics().crash("disproved");
+        context.decisionLog()
+                .write(
+                        "crash_disproved",
+                        caller.requestId(),
+                        "target",
+                        target.entry().id(),
+                        "target_born_ms",
+                        target.entry().bornMillis(),
+                        "fingerprints",
+                        cleared.stream().map(Long::toHexString).toList());
+    }
+
+    /** Clears the crashes of targets under the request, which has run to its end. */
+    void recordCompletion(LiveTarget target) {
+        if (context.crashSuspects().isEmpty()) {
+            return;
+        }
+        Set<String> cleared = context.crashSuspects().recordCompletion(caller.fingerprint());
+        if (cleared.isEmpty()) {
+            return;
+        }
+        context.metrics().crash("cleared_by_response");
+        context.decisionLog()
+                .write(
+                        "crash_cleared",
+                        caller.requestId(),
+                        "fingerprint",
+                        Long.toHexString(caller.fingerprint()),
+                        "target",
+                        target.entry().id(),
+                        "target_born_ms",
+                        target.entry().bornMillis(),
+                        "cleared_targets",
+                        cleared);
+    }
+
+    /** Records a crash of a target that ran the request. */
+    void recordCrash(LiveTarget target) {
+        unresolvedTarget = null;
+        recordCrash(target, caller.fingerprint(), sentNanos);
+        recordCrashOfUnresolved(target);
+    }
+
+    /** Records a crash of a target against the requests that this VM stopped waiting for before it showed. */
+    void recordCrashOfUnresolved(LiveTarget target) {
+        target.load()
+                .evidence()
+                .drainUnresolved()
+                .forEach(unresolved -> recordCrash(target, unresolved.fingerprint(), unresolved.sentNanos()));
+    }
+
+    private void recordCrash(LiveTarget target, long fingerprint, long requestSentNanos) {
+        context.crashSuspects()
+                .recordCrash(
+                        target.entry().incarnation().name(),
+                        target.entry().failureDomain(),
+                        fingerprint,
+                        requestSentNanos);
+        context.metrics().crash("recorded");
+        context.decisionLog()
+                .write(
+                        "crash_recorded",
+                        caller.requestId(),
+                        "fingerprint",
+                        Long.toHexString(fingerprint),
+                        "target",
+                        target.entry().id(),
+                        "target_born_ms",
+                        target.entry().bornMillis(),
+                        "crashed_targets",
+                        context.crashSuspects().crashedTargets(fingerprint));
+    }
+
+    /** Records that this VM no longer waits for the outcome at the target. */
+    void recordAttemptEnd() {
+        LiveTarget target = unresolvedTarget;
+        if (target != null) {
+            target.load().evidence().recordUnresolved(caller.fingerprint(), sentNanos);
+            unresolvedTarget = null;
+        }
+    }
+}
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -65,6 +65,7 @@
 
     private final RelayContext context;
     private final CallerRequest caller;
+    private final CrashTracker crashes;
     private final ResponseWriter writer;
     private final long receivedNanos;
     private final Set<String> attemptedTargets = new HashSet<>();
@@ -75,9 +76,6 @@
     private long sentNanos;
     private boolean responseBegun;
 
-    /** Whether the last target is known to have ended the request, or not to have begun it. */
-    private boolean outcomeKnown;
-
     private boolean late;
     private String result = "ok";
     private String lastTarget = "none";
@@ -89,6 +87,7 @@
     RelayCall(RelayContext context, Request request, Response response, long receivedNanos) {
         this.context = context;
         this.caller = new CallerRequest(context, request, receivedNanos);
+        this.crashes = new CrashTracker(context, caller);
         this.writer = new ResponseWriter(response);
         this.receivedNanos = receivedNanos;
     }
@@ -183,114 +182,14 @@
 
     /** Rejects a request that several targets crashed under, here or at other VMs. */
     private void checkQuarantine() {
-        if (context.crashSuspects().isEmpty()) {
-            return;
-        }
-        Duration quarantine = context.crashSuspects().acquireRun(caller.fingerprint());
+        Duration quarantine = crashes.quarantine();
         if (quarantine.isZero()) {
             return;
         }
-        context.decisionLog()
-                .write(
-                        "quarantined",
-                        requestId(),
-                        "fingerprint",
-                        Long.toHexString(caller.fingerprint()),
-                        "crashed_targets",
-                        context.crashSuspects().crashedTargets(caller.fingerprint()),
-                        "remaining_ms",
-                        quarantine.toMillis());
         throw noResponse(
                 ErrorCode.TARGETS_CRASHED, "Several targets crashed while running the same request.", quarantine);
     }
 
-    /** Clears the crashes of targets under the request, which has run to its end. */
-    private void recordCompletion() {
-        if (context.crashSuspects().isEmpty()) {
-            return;
-        }
-        Set<String> cleared = context.crashSuspects().recordCompletion(caller.fingerprint());
-        if (!cleared.isEmpty()) {
-            context.metrics().crash("cleared_by_response");
-            context.decisionLog()
-                    .write(
-                            "crash_cleared",
-                            requestId(),
-                            "fingerprint",
-                            Long.toHexString(caller.fingerprint()),
-                            "target",
-                            lastTarget,
-                            "target_born_ms",
-                            lastTargetBornMillis,
-                            "cleared_targets",
-                            cleared);
-        }
-    }
-
-    /** Clears crashes of the target that this response disproves. */
-    private void recordResponse(LiveTarget target, TargetExchange responding) {
-        Object connection = responding.connection();
-        if (connection == null) {
-            return;
-        }
-        long openSinceNanos = target.load().evidence().recordResponse(connection, sentNanos);
-        if (context.crashSuspects().isEmpty()) {
-            return;
-        }
-        Set<Long> cleared = context.crashSuspects()
-                .recordResponse(target.entry().incarnation().name(), openSinceNanos, sentNanos);
-        if (!cleared.isEmpty()) {
-            context.metrics().crash("disproved");
-            context.decisionLog()
-                    .write(
-                            "crash_disproved",
-                            requestId(),
-                            "target",
-                            lastTarget,
-                            "target_born_ms",
-                            lastTargetBornMillis,
-                            "fingerprints",
-                            cleared.stream().map(Long::toHexString).toList());
-        }
-    }
-
-    /** Records a crash of a target that ran the request. */
-    private void recordSuspectedCrash(LiveTarget target) {
-        outcomeKnown = true;
-        recordCrash(target, caller.fingerprint(), sentNanos);
-        recordCrashOfUnresolved(target);
-    }
-
-    /** Records a crash of a target against the requests that this VM stopped waiting for before it showed. */
-    private void recordCrashOfUnresolved(LiveTarget target) {
-        target.load()
-                .evidence()
-                .drainUnresolved()
-                .forEach(unresolved -> recordCrash(target, unresolved.fingerprint(), unresolved.sentNanos()));
-    }
-
-    private void recordCrash(LiveTarget target, long fingerprint, long requestSentNanos) {
-        context.crashSuspects()
-                .recordCrash(
-                        target.entry().incarnation().name(),
-                        target.entry().failureDomain(),
-                        fingerprint,
-                        requestSentNanos);
-        context.metrics().crash("recorded");
-        context.decisionLog()
-                .write(
-                        "crash_recorded",
-                        requestId(),
-                        "fingerprint",
-                        Long.toHexString(fingerprint),
-                        "target",
-                        lastTarget,
-                        "target_born_ms",
-                        lastTargetBornMillis,
-                        "crashed_targets",
-                        context.crashSuspects().crashedTargets(fingerprint));
-    }
-
     private PoolTargetSelector.Request targetRequirements() {
         return new PoolTargetSelector.Request(
                 attemptedTargets,
@@ -340,7 +239,7 @@
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         responseBegun = false;
-        outcomeKnown = false;
+        crashes.recordSent(target, sentNanos);
         try (TargetExchange exchange = new TargetExchange(
                 context.httpClient(),
                 target.entry(),
@@ -353,9 +252,7 @@
             setExchange(exchange);
             return processExchange(target, route, exchange);
         } finally {
-            if (!outcomeKnown) {
-                target.load().evidence().recordUnresolved(caller.fingerprint(), sentNanos);
-            }
+            crashes.recordAttemptEnd();
             target.load().requestEnded(tokens, late, responseBegun);
             setExchange(null);
         }
@@ -404,7 +301,7 @@
             target.load().recordWeights(model, weightsVersion);
         }
         if (metadata.notRun() || metadata.targetMismatch() || metadata.weightsMismatch()) {
-            outcomeKnown = true;
+            crashes.recordOutcomeKnown();
             rejectedAttempts++;
             if (metadata.weightsMismatch() && weightsVersion != null) {
                 attemptedTargets.remove(lastTarget);
@@ -423,7 +320,7 @@
         boolean idMismatch =
                 metadata.requestId() != null && !metadata.requestId().equals(requestId());
         if (metadata.requestId() != null && !idMismatch) {
-            recordResponse(target, exchange);
+            crashes.recordResponse(target, exchange.connection());
         }
         boolean unsigned = response.getStatus() < SERVER_ERROR_STATUS - 100 && !metadata.signed();
         if (idMismatch || unsigned) {
@@ -433,7 +330,9 @@
             target.load().requestFailed();
             return false;
         }
-        outcomeKnown = !HttpStatus.isSuccess(response.getStatus());
+        if (!HttpStatus.isSuccess(response.getStatus())) {
+            crashes.recordOutcomeKnown();
+        }
         if (response.getStatus() >= SERVER_ERROR_STATUS) {
             target.load().requestFailed();
             if (route.kind() == RouteKind.IDEMPOTENT
@@ -467,11 +366,11 @@
     private void handleFailure(LiveTarget target, TargetExchange.TargetRequestException failure) throws IOException {
         boolean connectionLost = !failure.isTimeout() && !failure.isAbandoned() && !isCallerDisconnected();
         if (failure.isRequestSent() && (connectionLost || target.load().isStalled())) {
-            recordSuspectedCrash(target);
+            crashes.recordCrash(target);
         } else if (!failure.isRequestSent()) {
-            outcomeKnown = true;
+            crashes.recordOutcomeKnown();
             if (failure.getCause() instanceof ConnectException) {
-                recordCrashOfUnresolved(target);
+                crashes.recordCrashOfUnresolved(target);
             }
         }
         if (isCallerDisconnected()) {
@@ -534,12 +433,12 @@
         } else {
             copyStream(firstBytes, body, buffer, target, exchange);
         }
-        outcomeKnown = true;
+        crashes.recordOutcomeKnown();
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
         recordResponseEnd(body);
         if (HttpStatus.isSuccess(response.getStatus()) && body.framing().marksEnd()) {
-            recordCompletion();
+            crashes.recordCompletion(target);
         }
         return true;
     }
@@ -573,7 +472,7 @@
             throw failure;
         }
         if (!failed.isTimeout() || target.load().isStalled()) {
-            recordSuspectedCrash(target);
+            crashes.recordCrash(target);
         }
         recordFailure("broken", String.valueOf(failure.getMessage()));
         target.load().requestFailed();
@@ -643,7 +542,7 @@
                 lastFailureReason = String.valueOf(e.getMessage());
                 if (!isCallerDisconnected()) {
                     if (!copied.isTimeout() || target.load().isStalled()) {
-                        recordSuspectedCrash(target);
+                        crashes.recordCrash(target);
                     }
                     target.load().requestFailed();
                     context.decisionLog()
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -5,6 +5,7 @@
 import dev.bluebellshunt.transport.ResponseBody;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -17,7 +18,6 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.jspecify.annotations.Nullable;
 
 /** A single request to one target. Any thread may {@link #abort} it, which closes the connection to the target. */
 final class TargetExchange implements AutoCloseable {
@@ -110,10 +110,9 @@
         return new TargetRequestException(requestBegun.get(), cause instanceof TimeoutException, false, cause);
     }
 
-    /** Returns the connection on which the request was sent, or null before that. */
-    @Nullable
-    Object connection() {
-        return request.getConnection();
+    /** Returns the connection on which the request was sent, or empty before that. */
+    Optional<Object> connection() {
+        return Optional.ofNullable(request.getConnection());
     }
 
     /** Returns the body of a response. Reads fail if the response is truncated. */
