Test that crashes reach all groups through the hubs, and that a new hub serves nobody at first

Cause: with the line that merges the crashes of a hub's digest taken out, or with hubs that serve members at once, every test of relay stayed green. Change: three tests in HubFleetTests with 24 VMs.

--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.TargetEntry;
@@ -32,6 +33,7 @@
 class HubFleetTests {
 
     private static final int SEEDS = 12;
+    private static final long CRASHING_REQUEST = 7;
     private static final double RATE = 100_000;
     private static final double BURST = 100_000;
     private static final double LIMIT = RATE * 8 + BURST;
@@ -371,4 +373,59 @@
         long ownCalls = 2 * 20 / 3 + 2;
         assertThat(calls[1] - sizes[1] * ownCalls, lessThanOrEqualTo((calls[0] - sizes[0] * ownCalls) * 3 / 2));
     }
+
+    /** Guards against crashes of targets that stay known in one group, so that a request crashes three targets in each. */
+    @Test
+    void crashesObservedInDifferentGroupsQuarantineRequestOnAllVms() {
+        startFleet(24, 8);
+        List<SimulatedFleet.Vm> members =
+                fleet.vms.stream().filter(vm -> vm.topology.isMember()).toList();
+        for (int crash = 0; crash < CrashSuspects.TARGETS_UNTIL_QUARANTINE; crash++) {
+            members.get(crash).crashSuspects.recordCrash("t-" + crash, "fd-1", List.of(CRASHING_REQUEST));
+            fleet.run(Duration.ofMillis(200));
+        }
+        // The rule allows as long as a VM may take to be in contact again.
+        fleet.run(Duration.ofSeconds(2));
+        for (SimulatedFleet.Vm vm : fleet.vms) {
+            assertThat(
+                    "request at " + vm.name,
+                    vm.crashSuspects.status(CRASHING_REQUEST),
+                    equalTo(CrashSuspects.Status.QUARANTINED));
+        }
+    }
+
+    /** Guards against a restarted VM that forgets a quarantine which only other groups know. */
+    @Test
+    void restartedMemberLearnsOfQuarantineFromItsHub() {
+        startFleet(24, 9);
+        SimulatedFleet.Vm hub = fleet.vms.get(hubIndex());
+        for (int crash = 0; crash < CrashSuspects.TARGETS_UNTIL_QUARANTINE; crash++) {
+            hub.crashSuspects.recordCrash("t-" + crash, "fd-1", List.of(CRASHING_REQUEST));
+        }
+        fleet.run(Duration.ofSeconds(5));
+        int restarted = fleet.vms.size() - 1;
+        fleet.restart(restarted);
+        fleet.run(Duration.ofSeconds(5));
+        assertThat(
+                fleet.vms.get(restarted).crashSuspects.status(CRASHING_REQUEST),
+                equalTo(CrashSuspects.Status.QUARANTINED));
+    }
+
+    /** Guards against members that admit too much, because a hub which has just started tells them that nobody else does. */
+    @Test
+    void hubServesNoMembersBeforeItHasHeardFromOtherHubs() {
+        startFleet(24, 10);
+        int index = hubIndex();
+        fleet.restart(index);
+        SimulatedFleet.Vm hub = fleet.vms.get(index);
+        while (!hub.topology.isHub()) {
+            fleet.step();
+        }
+        ReportMessage report =
+                new ReportMessage(new PeerReport("vm-23", 1_000_000, Map.of(), Map.of()), true, false, 0, "", 0, 0, 0);
+        fleet.run(Duration.ofMillis(500));
+        assertThat("after half a second", hub.receiver.receive(report).isPresent(), equalTo(false));
+        fleet.run(Duration.ofSeconds(1));
+        assertThat("after one and a half", hub.receiver.receive(report).isPresent(), equalTo(true));
+    }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -82,7 +82,7 @@
         final TargetListSystem targetList;
         final PeerSystem peerSystem;
         private final FleetSystem fleetSystem;
-        private final ReportReceiver receiver;
+        final ReportReceiver receiver;
         private final List<Runnable> waitingMessages = new ArrayList<>();
         private boolean paused;
         private boolean alive = true;
