Keep a target leaving in the router until it restarts

What callers saw: nothing known; the class of DRAIN, looked for in the router. A target that has said that it leaves could get requests again. Cause: the state of a target was that of the last response to a probe, which may be an older one that arrives late. Evidence: TargetTableTests#leavingTargetStaysLeavingUntilItRestarts failed before (live). Why it works: as the class says of itself, only a new incarnation accepts requests again.

--- a/core/src/main/java/dev/bluebellshunt/core/target/TargetTable.java
+++ b/core/src/main/java/dev/bluebellshunt/core/target/TargetTable.java
@@ -55,7 +55,7 @@
         }
         boolean restarted = !row.incarnation.isEmpty() && !row.incarnation.equals(report.incarnation());
         row.incarnation = report.incarnation();
-        row.reportedLeaving = report.leaving();
+        row.reportedLeaving = report.leaving() || (row.reportedLeaving && !restarted);
         row.runtimeState.updateReport(report);
         row.consecutiveFailures = 0;
         row.runtimeState.clearSuspect();
