Look targets up again for each attempt in the router

A request that was sent again could reach a target that had begun to leave after the request had arrived, up to its deadline later. Cause: a request used the targets of its arrival until its end. Why it works: the configuration stays that of the arrival, the targets are those of now.

--- a/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
@@ -255,7 +255,14 @@
         }
 
         private CallContext context(@Nullable Workspace workspace) {
-            return new CallContext(requestId, snapshot, workspace, arrivalNanos, deadline(), span);
+            return new CallContext(
+                    requestId,
+                    snapshot,
+                    () -> snapshots.snapshot().routing(),
+                    workspace,
+                    arrivalNanos,
+                    deadline(),
+                    span);
         }
 
         private Deadline deadline() {
--- a/router/src/main/java/dev/bluebellshunt/router/control/SnapshotHolder.java
+++ b/router/src/main/java/dev/bluebellshunt/router/control/SnapshotHolder.java
@@ -6,7 +6,8 @@
     private volatile RouterSnapshot snapshot = RouterSnapshot.EMPTY;
 
     /**
-     * Returns the latest snapshot. A request uses one snapshot until it ends.
+     * Returns the latest snapshot. A request uses one configuration until it ends, but looks its targets up for each
+     * attempt.
      *
      * @return the latest snapshot
      */
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -213,7 +213,7 @@
         String service = request.route().service();
         excludedTargets.addAll(support.crashSuspects().crashedTargets(fingerprint));
         return support.selector()
-                .select(context.snapshot().routing().applications(service), routingKey, excludedTargets)
+                .select(context.targets().get().applications(service), routingKey, excludedTargets)
                 .orElseThrow(() -> support.noTargetAvailable(service))
                 .target();
     }
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -157,7 +157,7 @@
 
     private Choice selectTarget() throws IOException {
         excludedTargets.addAll(support.crashSuspects().crashedTargets(fingerprint));
-        HashRing engines = context.snapshot().routing().engines(model.name());
+        HashRing engines = context.targets().get().engines(model.name());
         Optional<Choice> choice = support.selector().select(engines, prefixChain, excludedTargets);
         if (choice.isEmpty()) {
             throw endBrokenResponse(support.noTargetAvailable(model.name()));
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
@@ -40,6 +40,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -64,6 +65,7 @@
     final OnceLedger ledger;
     final WorkspaceLimiter limiter;
     final ProxySupport support;
+    final Set<String> leavingTargets = new HashSet<>();
     private final List<TargetView> targets = new ArrayList<>();
 
     ProxyTestHarness(
@@ -116,31 +118,37 @@
                 Map.of(),
                 List.of(),
                 Map.of());
-        List<TargetView> views = new ArrayList<>(targets);
-        targets.forEach(view -> views.add(new TargetView(
-                new TargetSpec(
-                        view.name(),
-                        TargetKind.APPLICATION,
-                        "10.0.0.1",
-                        80,
-                        view.spec().failureDomain(),
-                        Set.of("desk"),
-                        false,
-                        false),
-                TargetState.LIVE,
-                "i1",
-                view.runtimeState())));
-        RouterSnapshot snapshot =
-                new RouterSnapshot(configuration, new RoutingSnapshot(views), true, List.of(), Map.of());
+        RouterSnapshot snapshot = new RouterSnapshot(configuration, routing(), true, List.of(), Map.of());
         return new CallContext(
                 "request-1",
                 snapshot,
+                this::routing,
                 WORKSPACE,
                 clock.nanos(),
                 Deadline.after(clock, Duration.ofSeconds(60)),
                 support.tracing().startServerSpan("test", HttpFields.EMPTY));
     }
 
+    /** Returns each target as an engine and as an application. */
+    private RoutingSnapshot routing() {
+        List<TargetView> views = new ArrayList<>();
+        for (TargetView view : targets) {
+            TargetState state = leavingTargets.contains(view.name()) ? TargetState.LEAVING : TargetState.LIVE;
+            TargetSpec application = new TargetSpec(
+                    view.name(),
+                    TargetKind.APPLICATION,
+                    "10.0.0.1",
+                    80,
+                    view.spec().failureDomain(),
+                    Set.of("desk"),
+                    false,
+                    false);
+            views.add(new TargetView(view.spec(), state, "i1", view.runtimeState()));
+            views.add(new TargetView(application, state, "i1", view.runtimeState()));
+        }
+        return new RoutingSnapshot(views);
+    }
+
     Usage recordedUsage() {
         return usage.snapshot().getOrDefault(WORKSPACE.name(), Usage.NONE);
     }
