Ignore a listing that is older than the latest one, also an own slow read

What callers saw: nothing known; found by reading. A target that had left could be used again until the next read. Cause: a read that takes long was adopted when it came back, also after another VM's listing that had been read later. Evidence: TargetListSystemTests#slowReadDoesNotReplaceNewerListingOfAnotherVm failed before (the removed target was back). Why it works: listings are ordered by the time as of which they are current, whoever read them.

--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -29,7 +29,6 @@
 
     private final SharedStore store;
     private final TargetDirectory directory;
-
     private final Duration entryLifetime;
     private final ControlExecutor control;
     private final MonotonicClock clock;
@@ -100,13 +99,16 @@
                 store.readTargets(),
                 entries -> {
                     readPending = false;
-                    learned = null;
                     if (storeFailed) {
                         storeFailed = false;
                         log.info(
                                 "The store has returned the registered targets again, {} ms after the last listing.",
                                 millisSinceListing(sentNanos));
                     }
+                    if (!isNewer(sentNanos)) {
+                        return;
+                    }
+                    learned = null;
                     update(entries, sentNanos, availableSince(sentNanos));
                     directory
                             .graceEnd()
@@ -116,15 +118,19 @@
                 failure -> {
                     readPending = false;
                     failedSinceListing = true;
+                    pollInterval.rescheduleAfter(RETRY_INTERVAL);
                     if (!storeFailed) {
                         storeFailed = true;
                         log.info("The store does not return the registered targets: {}", failure.toString());
                     }
-                    pollInterval.rescheduleAfter(RETRY_INTERVAL);
-                    log.debug("Failed to read the registered targets: {}", failure.toString());
                 });
     }
 
+    private boolean isNewer(long asOfNanos) {
+        Listing latest = listing;
+        return latest == null || asOfNanos - latest.asOfNanos() > 0;
+    }
+
     private long millisSinceListing(long nanos) {
         Listing latest = listing;
         return latest == null ? 0 : TimeUnit.NANOSECONDS.toMillis(nanos - latest.asOfNanos());
@@ -203,7 +209,7 @@
         Listing previous = listing;
         LearnedListing last = learned != null && learned.process().equals(process) ? learned : null;
         boolean known = last != null && last.number() == number;
-        if (known || (previous != null && asOfNanos - previous.asOfNanos() <= 0)) {
+        if (known || !isNewer(asOfNanos)) {
             return;
         }
         List<TargetEntry> adopted = entries;
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
@@ -131,6 +131,17 @@
         assertThat(system.listing().orElseThrow().asOfNanos(), equalTo(clock.nanos()));
     }
 
+    /** Guards against a target that has left and is used again, because a slow read began before another VM's later one. */
+    @Test
+    void slowReadDoesNotReplaceNewerListingOfAnotherVm() {
+        store.setTargets(ONE_TARGET);
+        system.tick();
+        clock.advance(Duration.ofMillis(300));
+        learn("hub/1", 1, List.of(), Duration.ofMinutes(1));
+        control.runAll();
+        assertThat(targets(), hasSize(0));
+    }
+
     @Test
     void memberReadsTheStoreOnceItsListingIsTooOld() {
         learn("hub/1", 1, ONE_TARGET, Duration.ZERO);
