Count each target once among the crashes of a request

A VM that had missed that a crash was taken back could quarantine a request after two targets. Cause: a further crash of a target has a name of its own, and names were counted. Evidence: CrashSuspectsTests#targetCountsOnceAtVmThatMissedThatItsFirstCrashWasDisproved failed before (quarantined).

--- a/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
+++ b/core/src/main/java/dev/bluebellshunt/core/retry/CrashSuspects.java
@@ -104,7 +104,7 @@
      */
     public synchronized Duration acquireRun(long fingerprint) {
         Entry entry = unexpiredEntry(fingerprint);
-        if (entry == null || entry.crashes.size() < TARGETS_UNTIL_QUARANTINE) {
+        if (entry == null || entry.targetCount() < TARGETS_UNTIL_QUARANTINE) {
             return Duration.ZERO;
         }
         if (isQuarantined(entry)) {
@@ -243,7 +243,7 @@
                 .filter(row -> !row.getValue().crashes.isEmpty()
                         && !row.getValue().expiry.hasPassed(clock)
                         && condition.test(row.getValue()))
-                .sorted(Comparator.comparingInt(row -> -row.getValue().crashes.size()))
+                .sorted(Comparator.comparingInt(row -> -row.getValue().targetCount()))
                 .limit(MAX_REPORT_ENTRIES)
                 .collect(Collectors.toMap(
                         Map.Entry::getKey, row -> row.getValue().failureDomains()));
@@ -305,7 +305,7 @@
         entry.observed |= observed;
         entry.lastCrashNanos = now;
         entry.expiry = Deadline.after(clock, ENTRY_TTL);
-        Duration quarantine = quarantine(entry.crashes.size());
+        Duration quarantine = quarantine(entry.targetCount());
         entry.quarantineEnd = Deadline.after(clock, observed ? quarantine : quarantine.plus(PEER_QUARANTINE_MARGIN));
         entries.remove(fingerprint);
         entries.put(fingerprint, entry);
@@ -340,7 +340,7 @@
     }
 
     private boolean isQuarantined(Entry entry) {
-        return entry.crashes.size() >= TARGETS_UNTIL_QUARANTINE && !entry.quarantineEnd.hasPassed(clock);
+        return entry.targetCount() >= TARGETS_UNTIL_QUARANTINE && !entry.quarantineEnd.hasPassed(clock);
     }
 
     private @Nullable Entry unexpiredEntry(long fingerprint) {
@@ -407,6 +407,14 @@
             return removed;
         }
 
+        /** Returns the number of targets; a peer may have cleared one of two crashes of a target. */
+        private int targetCount() {
+            return (int) crashes.keySet().stream()
+                    .map(CrashSuspects::targetOf)
+                    .distinct()
+                    .count();
+        }
+
         /** Returns the name of the next crash of a target, since its previous ones may have been cleared. */
         private String nameOfNextCrash(String target) {
             String name = target;
--- a/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/retry/CrashSuspectsTests.java
@@ -232,4 +232,19 @@
         assertThat(peer.status(FINGERPRINT), equalTo(Status.QUARANTINED));
         assertThat(peer.crashedTargets(FINGERPRINT), equalTo(Set.of("a", "b", "c")));
     }
+
+    /** Guards against a quarantine after two targets, at a VM that has missed that the first crash of one was none. */
+    @Test
+    void targetCountsOnceAtVmThatMissedThatItsFirstCrashWasDisproved() {
+        CrashSuspects peer = new CrashSuspects(clock);
+        long opened = clock.nanos();
+        crash("a");
+        peer.mergeReport(suspects.recentReport(SECOND));
+        clock.advance(SECOND);
+        suspects.recordResponse("a", opened, clock.nanos());
+        clock.advance(SECOND.multipliedBy(2));
+        crash("a", "b");
+        peer.mergeReport(suspects.recentReport(SECOND));
+        assertThat(peer.status(FINGERPRINT), equalTo(Status.SUSPECT));
+    }
 }
