Wait in a test for what the relay records, not for the close of its connection

Cause: the relay closes its connection to the target before the thread of the request records the attempt; found by reading, before it failed. The test could have ended the target in between.

--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RelayHandlerTests.java
@@ -55,6 +55,7 @@
 import java.util.Objects;
 import java.util.Queue;
 import java.util.Random;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
@@ -837,14 +838,7 @@
         };
         scriptedResponses.add(together);
         scriptedResponses.add(together);
-        CompletableFuture<ContentResponse> first = new CompletableFuture<>();
-        Thread.ofVirtual().start(() -> {
-            try {
-                first.complete(get("/once/first"));
-            } catch (Exception e) {
-                first.completeExceptionally(e);
-            }
-        });
+        CompletableFuture<ContentResponse> first = inBackground(() -> get("/once/first"));
         assertThat(get("/once/second").getStatus(), equalTo(200));
         assertThat(first.get(WAIT_SECONDS, TimeUnit.SECONDS).getStatus(), equalTo(200));
     }
@@ -858,41 +852,24 @@
 
     /** Lets a caller leave while a target runs its request, and then ends the target. Returns whether the target got it. */
     private boolean leaveBeforeTargetEnds(int bornMillis) throws Exception {
-        try (ServerSocket target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
-            target.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        try (ServerSocket target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+                Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
             registerOneTarget(bornMillis, target.getLocalPort());
-            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-                caller.getOutputStream()
-                        .write(
-                                "GET /once/deadly HTTP/1.1\r\nHost: h.example\r\nt-id: id-1\r\nauthorization: secret\r\n\r\n"
-                                        .getBytes(StandardCharsets.US_ASCII));
-                CompletableFuture<Socket> accepted = new CompletableFuture<>();
-                Thread.ofVirtual().start(() -> {
-                    try {
-                        accepted.complete(target.accept());
-                    } catch (IOException e) {
-                        accepted.completeExceptionally(e);
-                    }
-                });
-                CompletableFuture<Integer> answered = new CompletableFuture<>();
-                Thread.ofVirtual().start(() -> {
-                    try {
-                        answered.complete(caller.getInputStream().read());
-                    } catch (IOException e) {
-                        answered.completeExceptionally(e);
-                    }
-                });
-                CompletableFuture.anyOf(accepted, answered).get(WAIT_SECONDS, TimeUnit.SECONDS);
-                if (!accepted.isDone()) {
-                    return false;
-                }
-                try (Socket connection = accepted.join()) {
-                    connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-                    assertThat(connection.getInputStream().read(), equalTo((int) 'G'));
-                    caller.shutdownOutput();
-                    connection.getInputStream().readAllBytes();
-                }
+            caller.getOutputStream()
+                    .write("GET /once/deadly HTTP/1.1\r\nHost: h.example\r\nt-id: id-1\r\nauthorization: secret\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            CompletableFuture<Socket> accepted = inBackground(target::accept);
+            CompletableFuture<Integer> answered =
+                    inBackground(() -> caller.getInputStream().read());
+            CompletableFuture.anyOf(accepted, answered).get(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (!accepted.isDone()) {
+                return false;
+            }
+            try (Socket connection = accepted.join()) {
+                connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+                assertThat(connection.getInputStream().read(), equalTo((int) 'G'));
+                caller.shutdownOutput();
+                awaitNoOpenRequests();
             }
         }
         // Connections to the target that has ended are refused.
@@ -901,6 +878,28 @@
         return true;
     }
 
+    private static <T> CompletableFuture<T> inBackground(Callable<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        Thread.ofVirtual().start(() -> {
+            try {
+                result.complete(task.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result;
+    }
+
+    /** Waits until the relay has recorded the ends of all requests to the only target. */
+    private void awaitNoOpenRequests() {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        LiveTarget target = directory.snapshot().pool("apps").getFirst();
+        while (target.load().inFlightLoad().requests() > 0) {
+            assertThat("the request has ended", System.nanoTime() < end);
+            Thread.onSpinWait();
+        }
+    }
+
     /** Guards against a request that crashes targets and is sent on, because its callers leave before the targets end. */
     @Test
     void requestWhoseCallersLeaveBeforeTargetsEndIsNotSentAgain() throws Exception {
