Split the tests of crashed targets from RelayHandlerTests

Change: AbstractRelayHandlerTests holds the relay and the scripted targets, CrashedTargetTests the eleven tests of crashes. No check changed.

--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/CrashedTargetTests.java
@@ -0,0 +1,275 @@
+package dev.bluebellshunt.relay.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.target.LiveTarget;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.ContentResponse;
+import org.junit.jupiter.api.Test;
+
+/** Requests under which targets crash, or seem to: when they are stopped, and what takes a crash back. */
+class CrashedTargetTests extends AbstractRelayHandlerTests {
+
+    /** Guards against a request that ends every target that runs it, and that its caller sends again and again. */
+    @Test
+    void requestThatEndedThreeTargetsIsNotSentAgain() throws Exception {
+        configure();
+        int lastStatus = 0;
+        String retryAfter = null;
+        for (int repetition = 1; repetition <= 8; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            ContentResponse response = post("/once/deadly", "repetition-" + repetition);
+            lastStatus = response.getStatus();
+            retryAfter = response.getHeaders().get("retry-after");
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests.size(), lessThanOrEqualTo(3));
+        assertThat(lastStatus, equalTo(503));
+        assertThat(retryAfter, notNullValue());
+        scriptedResponses.clear();
+        assertThat(post("/once/harmless", "other").getStatus(), equalTo(200));
+    }
+
+    @Test
+    void retriesOfRelayCountAsSendsOfRequestThatEndsTargets() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 4; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            scriptedResponses.add(closeWithoutResponse());
+            post("/safe/deadly", "repetition-" + repetition);
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests, hasSize(3));
+    }
+
+    @Test
+    void streamThatEndsTargetsMidwayIsNotSentAgain() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 5; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeMidResponse());
+            org.eclipse.jetty.client.Request stream = request("/stream/deadly").timeout(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (repetition <= 3) {
+                assertThrows(ExecutionException.class, stream::send);
+            } else {
+                assertThat(stream.send().getStatus(), equalTo(503));
+            }
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests, hasSize(3));
+    }
+
+    @Test
+    void requestOfOtherWorkspaceOrWithOtherBodyIsNotStopped() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 4; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            post("/once/deadly", "repetition-" + repetition);
+            registerTargets(1 + repetition);
+        }
+        scriptedResponses.clear();
+        assertThat(get("/once/deadly").getStatus(), equalTo(200));
+        org.eclipse.jetty.client.Request other = request("/once/deadly")
+                .method("POST")
+                .headers(headers -> headers.put("authorization", "other-secret"))
+                .body(new org.eclipse.jetty.client.StringRequestContent("text/plain", "the same body"));
+        assertThat(other.timeout(WAIT_SECONDS, TimeUnit.SECONDS).send().getStatus(), equalTo(200));
+    }
+
+    /** Guards against a request that crashes targets and is sent on, because its caller uses several names of the host. */
+    @Test
+    void requestToOtherHostNameIsTheSameRequest() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 6; repetition++) {
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            String host = repetition % 2 == 0 ? "h.example" : "other.example";
+            request("/once/deadly")
+                    .headers(headers -> headers.put("host", host))
+                    .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                    .send();
+            registerTargets(1 + repetition);
+        }
+        assertThat("sends", receivedRequests, hasSize(3));
+    }
+
+    /** Guards against a quarantine by lost connections alone, while the request also completes. */
+    @Test
+    void requestThatCompletesInBetweenIsNotStopped() throws Exception {
+        configure();
+        for (int repetition = 1; repetition <= 8; repetition++) {
+            scriptedResponses.clear();
+            if (repetition % 3 != 0) {
+                scriptedResponses.add(closeWithoutResponse());
+            }
+            assertThat(
+                    "repetition " + repetition,
+                    post("/once/harmless", "repetition-" + repetition).getStatus(),
+                    equalTo(repetition % 3 == 0 ? 200 : 502));
+            registerTargets(1 + repetition);
+        }
+    }
+
+    /** Sends a request that crashes targets, in between with other outcomes, and returns how many targets crashed. */
+    private int countCrashes(ScriptedResponse outcomeOfEveryThirdRepetition) throws Exception {
+        configure();
+        int crashes = 0;
+        for (int repetition = 1; repetition <= 12; repetition++) {
+            scriptedResponses.clear();
+            boolean crash = repetition % 3 != 0;
+            scriptedResponses.add(crash ? closeWithoutResponse() : outcomeOfEveryThirdRepetition);
+            int before = receivedRequests.size();
+            post("/once/deadly", "id-1");
+            crashes += crash ? receivedRequests.size() - before : 0;
+            registerTargets(1 + repetition);
+        }
+        return crashes;
+    }
+
+    /**
+     * Guards against a request that crashes targets and is sent on, because a target that fails part of its requests answers it
+     * with an error in between.
+     */
+    @Test
+    void errorResponseDoesNotClearCrashes() throws Exception {
+        assertThat("crashes", countCrashes(status(500, "t-seal", "target error")), lessThanOrEqualTo(3));
+    }
+
+    /**
+     * Guards against a request that crashes targets and is sent on, because the connection of a crashed target ends a response
+     * without framing, which may be truncated.
+     */
+    @Test
+    void responseWithoutFramingDoesNotClearCrashes() throws Exception {
+        assertThat("crashes", countCrashes(closeAfter("", "some of the bytes")), lessThanOrEqualTo(3));
+    }
+
+    private void registerOneTarget(long bornMillis, int targetPort) {
+        TargetEntry target =
+                new TargetEntry("t0", bornMillis, "apps", "127.0.0.1", targetPort, "fd-1", 6, false, Map.of());
+        directory.update(List.of(target), clock.nanos(), false);
+    }
+
+    /** Opens two connections to the target, by two requests that it runs at the same time. */
+    private void openTwoConnections() throws Exception {
+        CountDownLatch bothRun = new CountDownLatch(2);
+        ScriptedResponse together = (request, response, callback) -> {
+            bothRun.countDown();
+            bothRun.await(WAIT_SECONDS, TimeUnit.SECONDS);
+            ok("together").respond(request, response, callback);
+        };
+        scriptedResponses.add(together);
+        scriptedResponses.add(together);
+        CompletableFuture<ContentResponse> first = inBackground(() -> get("/once/first"));
+        assertThat(get("/once/second").getStatus(), equalTo(200));
+        assertThat(first.get(WAIT_SECONDS, TimeUnit.SECONDS).getStatus(), equalTo(200));
+    }
+
+    private void loseConnection() throws Exception {
+        scriptedResponses.add(closeWithoutResponse());
+        assertThat(post("/once/harmless", "id-1").getStatus(), equalTo(502));
+        assertThat("crashes", crashSuspects.report().size(), equalTo(1));
+        clock.advance(Duration.ofSeconds(1));
+    }
+
+    /** Lets a caller leave while a target runs its request, and then ends the target. Returns whether the target got it. */
+    private boolean leaveBeforeTargetEnds(int bornMillis) throws Exception {
+        try (ServerSocket target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+                Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            registerOneTarget(bornMillis, target.getLocalPort());
+            caller.getOutputStream()
+                    .write("GET /once/deadly HTTP/1.1\r\nHost: h.example\r\nt-id: id-1\r\nauthorization: secret\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            CompletableFuture<Socket> accepted = inBackground(target::accept);
+            CompletableFuture<Integer> answered =
+                    inBackground(() -> caller.getInputStream().read());
+            CompletableFuture.anyOf(accepted, answered).get(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (!accepted.isDone()) {
+                return false;
+            }
+            try (Socket connection = accepted.join()) {
+                connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+                assertThat(connection.getInputStream().read(), equalTo((int) 'G'));
+                caller.shutdownOutput();
+                awaitNoOpenRequests();
+            }
+        }
+        // Connections to the target that has ended are refused.
+        clock.advance(Duration.ofMillis(1));
+        assertThat(get("/once/other").getStatus(), equalTo(503));
+        return true;
+    }
+
+    private static <T> CompletableFuture<T> inBackground(Callable<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        Thread.ofVirtual().start(() -> {
+            try {
+                result.complete(task.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result;
+    }
+
+    /** Waits until the relay has recorded the ends of all requests to the only target. */
+    private void awaitNoOpenRequests() {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        LiveTarget target = directory.snapshot().pool("apps").getFirst();
+        while (target.load().inFlightLoad().requests() > 0) {
+            assertThat("the request has ended", System.nanoTime() < end);
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Guards against a request that crashes targets and is sent on, because its callers leave before the targets end. */
+    @Test
+    void requestWhoseCallersLeaveBeforeTargetsEndIsNotSentAgain() throws Exception {
+        configure();
+        int sends = 0;
+        for (int repetition = 1; repetition <= 6; repetition++) {
+            sends += leaveBeforeTargetEnds(repetition) ? 1 : 0;
+        }
+        assertThat("sends", sends, equalTo(3));
+    }
+
+    /** Guards against requests that are quarantined because targets close connections, without a crash. */
+    @Test
+    void responseOnConnectionFromBeforeSuspectedCrashDisprovesIt() throws Exception {
+        configure();
+        registerOneTarget(1, targetPorts.getFirst());
+        openTwoConnections();
+        loseConnection();
+        assertThat(get("/once/next").getStatus(), equalTo(200));
+        assertThat("crashes", crashSuspects.report().size(), equalTo(0));
+    }
+
+    @Test
+    void responseOnNewConnectionDoesNotDisproveCrash() throws Exception {
+        configure();
+        registerOneTarget(1, targetPorts.getFirst());
+        loseConnection();
+        assertThat(get("/once/next").getStatus(), equalTo(200));
+        assertThat("crashes", crashSuspects.report().size(), equalTo(1));
+    }
+}
