--- a/review/standin/Relay.java
+++ b/review/standin/Relay.java
@@ -2,17 +2,24 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A process of the system under test, started with the command of the deploy file. */
 final class Relay implements AutoCloseable {
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 30_000;
+    private static final Set<Integer> USED_PORTS = new HashSet<>();
     private static final List<Relay> STARTED = new ArrayList<>();
 
     final String name;
@@ -52,16 +59,19 @@
         STARTED.add(this);
     }
 
+    /** Finds free ports below those that the system gives to outgoing connections, so that a restart finds them free. */
     private static int[] freePorts(String host, int count) throws IOException {
         int[] ports = new int[count];
-        List<ServerSocket> open = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host));
-            open.add(socket);
-            ports[i] = socket.getLocalPort();
-        }
-        for (ServerSocket socket : open) {
-            socket.close();
+        int found = 0;
+        while (found < count) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                if (USED_PORTS.add(port)) {
+                    ports[found++] = socket.getLocalPort();
+                }
+            } catch (BindException e) {
+                // In use; another one is tried.
+            }
         }
         return ports;
     }
