Show that an unframed stream which a crash cuts off reaches its caller as complete

Cause: the relay adds the last chunk itself to a response that has neither a length nor chunks, and finds it truncated only inside an event. The stand-in starts a process again that ended by itself while it starts.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-exec bash "$(dirname "$0")/../standin/run.sh" 256m review.AddedRoute OPEN_TO_ALL review/2/record.txt
+exec bash "$(dirname "$0")/../standin/run.sh" 256m review.CrashedEngine review/2/record.txt
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,5 @@
 # The JDK of the deploy file, as in deploy/build.sh.
 java=$(sed -n 's/^run = "\([^ ]*\).*/\1/p' deploy/system.toml)
 jdk=$(dirname "$(dirname "$java")")
-rm -rf target/review
 mkdir -p target/review
 "$jdk/bin/javac" -d target/review -cp 'target/bluebellshunt-platform/lib/*' review/standin/*.java
--- a/review/standin/Relay.java
+++ b/review/standin/Relay.java
@@ -19,6 +19,7 @@
 
     private static final int FIRST_PORT = 20_000;
     private static final int LAST_PORT = 30_000;
+    private static final long RESTART_CHECK_MILLIS = 500;
     private static final Set<Integer> USED_PORTS = new HashSet<>();
     private static final List<Relay> STARTED = new ArrayList<>();
 
@@ -99,6 +100,10 @@
         return process.isAlive();
     }
 
+    int exitCode() {
+        return process.exitValue();
+    }
+
     long pid() {
         return process.pid();
     }
@@ -113,6 +118,20 @@
         }
     }
 
+    /** Waits until the machine is ready. A process that ends by itself is started again, as the platform does. */
+    boolean awaitReadyOrRestart(long timeoutMillis) throws IOException {
+        long end = Clock.millis() + timeoutMillis;
+        while (Clock.millis() < end) {
+            if (awaitReady(RESTART_CHECK_MILLIS)) {
+                return true;
+            }
+            if (!isAlive()) {
+                start();
+            }
+        }
+        return false;
+    }
+
     boolean awaitReady(long timeoutMillis) {
         long end = Clock.millis() + timeoutMillis;
         while (Clock.millis() < end) {
