--- a/review/standin/LostMachines.java
+++ b/review/standin/LostMachines.java
@@ -20,7 +20,7 @@
 
     private static final int MACHINES = 8;
     private static final int CLIENTS_PER_MACHINE = 80;
-    private static final int BODY_BYTES = 256_000;
+    private static final int BODY_BYTES = 400_000;
     private static final byte[] BODY = new byte[BODY_BYTES];
     private static final long ENGINE_MILLIS = 12_000;
     private static final int DEADLINE_MILLIS = 15_000;
@@ -77,7 +77,7 @@
             relay.start();
         }
         for (Relay relay : relays) {
-            if (!relay.awaitReady(20_000)) {
+            if (!relay.awaitReadyOrRestart(20_000)) {
                 record.add(relay.name + " is not ready at the start");
                 return Record.NOT_RUN;
             }
@@ -151,7 +151,7 @@
             relay.start();
         }
         for (Relay relay : relays.subList(1, MACHINES)) {
-            relay.awaitReady(10_000);
+            relay.awaitReadyOrRestart(10_000);
         }
         down.set(false);
         record.add("the killed machines are back");
