Leave open for callers what targets leave open

Cause: the end of a connection was taken for the end of the response when the content did not contradict, and the response was then framed anew, so that the relay vouched for an end that the target did not mark.

Change: a response whose target does not mark its end has neither a length nor chunks for the caller either, and closes the connection; a failure resets it. An open end is no known outcome for the crash counts and no success for the target's load. The ledger stores whether the end was open.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -450,27 +450,34 @@
             handleBodyFailure(target, exchange, e);
             return false;
         }
-        beginResponse(response, body.isEventStream());
+        beginResponse(response, body);
         if (firstBytes.length < MAX_BUFFERED_RESPONSE_BYTES && route.kind() != RouteKind.STREAM) {
             writer.setLastChunk(firstBytes);
         } else {
             copyStream(firstBytes, body, buffer, target, exchange);
         }
+        context.metrics().responseEnd(body.framing().label());
+        if (body.framing().marksEnd()) {
+            recordCompletion(target, response.getStatus(), body);
+        } else {
+            recordOpenEnd(target, body);
+        }
+        return true;
+    }
+
+    private void recordCompletion(LiveTarget target, int status, ResponseBody body) {
         crashes.recordOutcomeKnown();
         target.load().requestSucceeded();
         context.metrics().attempt("ok");
-        recordResponseEnd(body);
-        if (HttpStatus.isSuccess(response.getStatus()) && body.framing().marksEnd()) {
+        if (HttpStatus.isSuccess(status)) {
             crashes.recordCompletion(target, body.size());
         }
-        return true;
     }
 
-    private void recordResponseEnd(ResponseBody body) {
-        context.metrics().responseEnd(body.framing().label());
-        if (body.framing().marksEnd()) {
-            return;
-        }
+    /** Records the end of a response that may be complete, or cut off by a crash of the target. */
+    private void recordOpenEnd(LiveTarget target, ResponseBody body) {
+        target.load().bytesReceived();
+        context.metrics().attempt("open_end");
         context.decisionLog()
                 .write(
                         "unframed_answer",
@@ -506,7 +513,7 @@
         }
     }
 
-    private void beginResponse(org.eclipse.jetty.client.Response response, boolean eventStream) {
+    private void beginResponse(org.eclipse.jetty.client.Response response, ResponseBody body) {
         int status = response.getStatus();
         if (NOT_EXECUTED_STATUSES.contains(status)) {
             throw new ShuntException(
@@ -516,7 +523,10 @@
                     Outcome.UNKNOWN,
                     "The target responded with status " + status + " but may have run the request.");
         }
-        writer.copyHead(response, eventStream);
+        writer.copyHead(response, body.isEventStream());
+        if (!body.framing().marksEnd()) {
+            writer.leaveEndOpen();
+        }
         if (context.drainState().isDraining()) {
             writer.closeConnection();
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
@@ -15,6 +15,7 @@
 
     private final Response response;
     private byte[] lastChunk = new byte[0];
+    private boolean endOpen;
 
     ResponseWriter(Response response) {
         this.response = response;
@@ -36,9 +37,19 @@
         response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
 
+    /**
+     * Leaves open whether the body is complete, as the target's response does. Must be called before the first write.
+     */
+    void leaveEndOpen() {
+        endOpen = true;
+        ResponseEnds.endWithConnection(response);
+    }
+
     /** Prepares a body that is written in several chunks. Must be called before the first write. */
     void beginStream() {
-        ResponseEnds.requireChunks(response);
+        if (!endOpen) {
+            ResponseEnds.requireChunks(response);
+        }
     }
 
     /** Ends a response that cannot be completed, so that the caller detects it. */
@@ -76,6 +87,13 @@
 
     /** Writes the last chunk and completes the response. */
     void complete(Callback callback) {
-        response.write(true, ByteBuffer.wrap(lastChunk), callback);
+        if (!endOpen || response.isCommitted()) {
+            response.write(true, ByteBuffer.wrap(lastChunk), callback);
+            return;
+        }
+        response.write(
+                false,
+                ByteBuffer.wrap(lastChunk),
+                Callback.from(() -> response.write(true, null, callback), callback::failed));
     }
 }
--- a/router/src/main/java/dev/bluebellshunt/router/caller/JettyCallerResponse.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/JettyCallerResponse.java
@@ -14,6 +14,7 @@
 
     private final Response response;
     private @Nullable OutputStream output;
+    private boolean openEnded;
 
     JettyCallerResponse(Response response) {
         this.response = response;
@@ -21,9 +22,20 @@
 
     @Override
     public void start(int status, HttpFields headers) {
+        setHead(status, headers);
+        ResponseEnds.requireChunks(response);
+    }
+
+    @Override
+    public void startOpenEnded(int status, HttpFields headers) {
+        setHead(status, headers);
+        ResponseEnds.endWithConnection(response);
+        openEnded = true;
+    }
+
+    private void setHead(int status, HttpFields headers) {
         response.setStatus(status);
         response.getHeaders().add(headers);
-        ResponseEnds.requireChunks(response);
         output = Content.Sink.asOutputStream(response);
     }
 
@@ -40,6 +52,9 @@
         }
         if (bytes.length > 0) {
             startedOutput.write(bytes);
+        } else if (openEnded) {
+            // Jetty gives a body without bytes a length, unless the head has been sent before.
+            startedOutput.flush();
         }
         if (last) {
             startedOutput.close();
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -267,7 +267,10 @@
                 support.crashSuspects().recordCompletion(fingerprint);
             }
             return new AttemptResult.Completed(new BufferedResponse(
-                    response.status(), contentType == null ? "application/octet-stream" : contentType, body));
+                    response.status(),
+                    contentType == null ? "application/octet-stream" : contentType,
+                    body,
+                    !response.marksEnd()));
         } catch (IOException e) {
             return recordFailure(target, targetFailure(target, Outcome.UNKNOWN, "did not complete its response", e));
         }
@@ -301,9 +304,17 @@
     }
 
     private void sendToCaller(BufferedResponse response) throws IOException {
-        callerResponse.start(
-                response.status(), HttpFields.build().put(HttpHeader.CONTENT_TYPE, response.contentType()));
-        callerResponse.write(response.body(), true);
+        HttpFields headers = HttpFields.build().put(HttpHeader.CONTENT_TYPE, response.contentType());
+        sendToCaller(response.status(), headers, response.body(), response.openEnded());
+    }
+
+    private void sendToCaller(int status, HttpFields headers, byte[] body, boolean openEnded) throws IOException {
+        if (openEnded) {
+            callerResponse.startOpenEnded(status, headers);
+        } else {
+            callerResponse.start(status, headers);
+        }
+        callerResponse.write(body, true);
     }
 
     private void replayResult(OnceResult result) throws IOException {
@@ -316,18 +327,16 @@
                     "The request completed with status " + result.status() + "; its response was too large to store.");
         }
         byte[] body = Base64.getDecoder().decode(result.bodyBase64());
-        callerResponse.start(
-                result.status(),
-                HttpFields.build()
-                        .put(HttpHeader.CONTENT_TYPE, result.contentType())
-                        .put("idempotent-replayed", "true"));
-        callerResponse.write(body, true);
+        HttpFields headers = HttpFields.build()
+                .put(HttpHeader.CONTENT_TYPE, result.contentType())
+                .put("idempotent-replayed", "true");
+        sendToCaller(result.status(), headers, body, result.openEnded());
     }
 
     private static OnceResult toStoredResult(BufferedResponse response) {
         boolean truncated = response.body().length > MAX_STORED_BODY_BYTES;
         String body = truncated ? "" : Base64.getEncoder().encodeToString(response.body());
-        return new OnceResult(response.status(), response.contentType(), body, truncated);
+        return new OnceResult(response.status(), response.contentType(), body, truncated, response.openEnded());
     }
 
     private String bodyDigest() {
@@ -375,5 +384,5 @@
     }
 
     @SuppressWarnings("ArrayRecordComponent") // instances are never compared
-    private record BufferedResponse(int status, String contentType, byte[] body) {}
+    private record BufferedResponse(int status, String contentType, byte[] body, boolean openEnded) {}
 }
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CallerResponse.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CallerResponse.java
@@ -14,10 +14,18 @@
      */
     void start(int status, HttpFields headers);
 
+    /**
+     * Like {@link #start}, but the end of the body leaves open whether it is complete, as that of the target does.
+     *
+     * @param status the HTTP status
+     * @param headers the headers
+     */
+    void startOpenEnded(int status, HttpFields headers);
+
     /**
      * Returns whether the status and the headers have been set.
      *
-     * @return true once {@link #start} has been called
+     * @return true once one of the methods that do so has been called
      */
     boolean isStarted();
 
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -372,10 +372,13 @@
             ranToItsEnd = response.marksEnd();
         }
         String contentType = response.headers().get(HttpHeader.CONTENT_TYPE);
-        callerResponse.start(
-                response.status(),
-                HttpFields.build()
-                        .put(HttpHeader.CONTENT_TYPE, contentType == null ? "application/json" : contentType));
+        HttpFields headers =
+                HttpFields.build().put(HttpHeader.CONTENT_TYPE, contentType == null ? "application/json" : contentType);
+        if (response.marksEnd()) {
+            callerResponse.start(response.status(), headers);
+        } else {
+            callerResponse.startOpenEnded(response.status(), headers);
+        }
         callerResponse.write(body, true);
         return null;
     }
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
@@ -245,6 +245,7 @@
         final ByteArrayOutputStream received = new ByteArrayOutputStream();
         int status;
         boolean complete;
+        boolean openEnded;
         private final int disconnectAfterBytes;
         private @Nullable HttpFields headers;
 
@@ -262,6 +263,12 @@
             headers = newHeaders;
         }
 
+        @Override
+        public void startOpenEnded(int newStatus, HttpFields newHeaders) {
+            start(newStatus, newHeaders);
+            openEnded = true;
+        }
+
         @Override
         public boolean isStarted() {
             return headers != null;
--- a/transport/src/main/java/dev/bluebellshunt/transport/ResponseEnds.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseEnds.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
+import java.util.EnumSet;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpVersion;
@@ -17,6 +18,9 @@
 
     private static final Logger log = LoggerFactory.getLogger("server");
 
+    private static final EnumSet<HttpHeader> FRAMING_HEADERS =
+            EnumSet.of(HttpHeader.CONTENT_LENGTH, HttpHeader.TRANSFER_ENCODING);
+
     private ResponseEnds() {}
 
     /**
@@ -33,8 +37,22 @@
     }
 
     /**
-     * Ends a response that cannot be completed. A body in HTTP/1.0 may end with its connection, which is therefore
-     * reset.
+     * Lets the body of a response end with its connection, which leaves open whether the body is complete.
+     *
+     * <p>Jetty adds a length to a body whose last bytes it gets with the first write, so the first write must not be
+     * the last one.
+     *
+     * @param response the response, which has not been committed
+     */
+    public static void endWithConnection(Response response) {
+        response.getHeaders().remove(HttpHeader.CONTENT_LENGTH);
+        response.getHeaders().remove(HttpHeader.TRANSFER_ENCODING);
+        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+
+    /**
+     * Ends a response that cannot be completed. The connection is reset if closing it could end the body in order, as in
+     * HTTP/1.0.
      *
      * @param response the response
      * @param callback the callback of the request
@@ -43,7 +61,9 @@
     public static void abort(Response response, Callback callback, Throwable cause) {
         EndPoint endPoint =
                 response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
-        if (response.isCommitted() && isHttp10(response) && endPoint.getTransport() instanceof SocketChannel channel) {
+        if (response.isCommitted()
+                && mayEndWithConnection(response)
+                && endPoint.getTransport() instanceof SocketChannel channel) {
             try {
                 channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             } catch (IOException e) {
@@ -53,6 +73,10 @@
         callback.failed(cause);
     }
 
+    private static boolean mayEndWithConnection(Response response) {
+        return isHttp10(response) || !response.getHeaders().contains(FRAMING_HEADERS);
+    }
+
     private static boolean isHttp10(Response response) {
         return response.getRequest().getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_0;
     }
