Change the shared cache domain with the set of dedicated workspaces

Cause: the domain of workspaces that share was the same whoever shared, so what a workspace had cached stayed in it after the workspace had left. A request that was admitted before the change and sent after it had the old domain as well.

Change: the name of the shared domain is derived from the names of all dedicated workspaces, and determined for each send by the configuration in force.

--- a/relay/src/main/java/dev/bluebellshunt/relay/model/RelayConfiguration.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/model/RelayConfiguration.java
@@ -1,13 +1,17 @@
 package dev.bluebellshunt.relay.model;
 
+import com.dynatrace.hash4j.hashing.HashStream128;
+import com.dynatrace.hash4j.hashing.Hashing;
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Immutable version of the operators' configuration, indexed for request processing. VMs send it to each other as JSON.
@@ -26,6 +30,7 @@
     private final Map<String, String> workspaceByKey;
     private final List<String> cacheStores;
     private final CallerLimits limits;
+    private final String sharedCacheScope;
 
     /**
      * Creates a configuration.
@@ -54,6 +59,7 @@
         this.workspaceByKey = Map.copyOf(workspaceByKey);
         this.cacheStores = List.copyOf(cacheStores);
         this.limits = limits;
+        this.sharedCacheScope = sharedCacheScope(this.workspaces.values());
         Map<String, List<RelayRoute>> byHost = new HashMap<>();
         for (RelayRoute route : routes) {
             byHost.computeIfAbsent(route.host(), h -> new java.util.ArrayList<>())
@@ -65,6 +71,40 @@
                 routesByHost.put(host, list.stream().sorted(longestFirst).toList()));
     }
 
+    /**
+     * Returns the scope of all workspaces that are not dedicated, which depends on the names of those that are. A
+     * workspace that becomes dedicated thus leaves behind what it has shared, at every VM and without any memory of
+     * earlier configurations: under the new scope, only workspaces have cached prompts that share them still.
+     */
+    private static String sharedCacheScope(Collection<RelayWorkspace> workspaces) {
+        List<String> dedicated = workspaces.stream()
+                .filter(RelayWorkspace::dedicated)
+                .map(RelayWorkspace::name)
+                .sorted()
+                .toList();
+        if (dedicated.isEmpty()) {
+            return "shared";
+        }
+        HashStream128 names = Hashing.murmur3_128().hashStream();
+        dedicated.forEach(names::putString);
+        return "shared-" + names.get();
+    }
+
+    /**
+     * Returns the scope within which a request may share cached prompts with other requests.
+     *
+     * @param workspace the name of the request's workspace, or null if it has none
+     * @return a name that differs from the scopes of all requests with which it must not share, under this
+     *     configuration and under earlier ones
+     */
+    public String cacheScope(@Nullable String workspace) {
+        if (workspace == null) {
+            return sharedCacheScope;
+        }
+        RelayWorkspace known = workspaces.get(workspace);
+        return known != null && !known.dedicated() ? sharedCacheScope : "only:" + workspace;
+    }
+
     /**
      * Returns the version of this configuration.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/PromptCachePlan.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/PromptCachePlan.java
@@ -1,5 +1,6 @@
 package dev.bluebellshunt.relay.proxy;
 
+import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
@@ -24,21 +25,19 @@
     private static final double MAX_UNSHARED_RATIO = 1.5;
 
     /**
-     * Returns the cache domain of requests that may share cached prompts. They have the same weights version, and
-     * requests of a dedicated workspace share prompts only among themselves.
+     * Plans the use of cached prompts by a request for a model, which is about to be sent. The configuration in force at
+     * this moment counts; it may be newer than the one that admitted the request.
      */
-    static String domain(@Nullable RelayWorkspace workspace, long weightsVersion) {
-        String sharingScope = workspace != null && workspace.dedicated() ? "only:" + workspace.name() : "shared";
-        return sharingScope + "/" + weightsVersion;
-    }
-
     static PromptCachePlan create(
             RelayContext context,
             LiveTarget target,
             CallerRequestMetadata metadata,
-            @Nullable RelayWorkspace workspace) {
-        String model = metadata.model();
-        String domain = domain(workspace, model == null ? 0 : target.weightsVersion(model));
+            @Nullable RelayWorkspace workspace,
+            String model) {
+        RelayConfiguration configuration =
+                context.operatorState().configuration().orElseThrow();
+        String scope = configuration.cacheScope(workspace == null ? null : workspace.name());
+        String domain = scope + "/" + target.weightsVersion(model);
         return new PromptCachePlan(domain, source(context, target, domain, metadata), store(context, domain, metadata));
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -86,6 +86,7 @@
     private String lastTarget = "none";
     private long lastTargetBornMillis;
     private String lastFailureReason = "none";
+    private @Nullable PromptCachePlan cache;
     private @Nullable TargetExchange exchange;
     private boolean callerDisconnected;
 
@@ -256,6 +257,10 @@
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         responseBegun = false;
+        String model = caller.metadata().model();
+        cache = model == null
+                ? null
+                : PromptCachePlan.create(context, target, caller.metadata(), caller.workspace(), model);
         crashes.recordSent(target, sentNanos);
         try (TargetExchange exchange = new TargetExchange(
                 context.httpClient(),
@@ -264,7 +269,7 @@
                         .snapshot()
                         .acceptsRequests(target.entry().incarnation()),
                 caller.outgoing(),
-                TargetRequestHeaders.build(context, caller, target, late, timeout),
+                TargetRequestHeaders.build(context, caller, target, cache, late, timeout),
                 timeout)) {
             setExchange(exchange);
             return processExchange(target, route, exchange);
@@ -367,10 +372,11 @@
                 return false;
             }
         }
-        if (model != null) {
-            String domain = PromptCachePlan.domain(caller.workspace(), target.weightsVersion(model));
+        PromptCachePlan usedCache = cache;
+        if (usedCache != null) {
             context.engineCacheIndex()
-                    .recordCached(lastTarget, domain, caller.metadata().sharedPartIds());
+                    .recordCached(
+                            lastTarget, usedCache.domain(), caller.metadata().sharedPartIds());
         }
         return forwardResponse(target, route, exchange, response);
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetRequestHeaders.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetRequestHeaders.java
@@ -4,6 +4,7 @@
 import dev.bluebellshunt.relay.target.LiveTarget;
 import java.time.Duration;
 import org.eclipse.jetty.http.HttpFields;
+import org.jspecify.annotations.Nullable;
 
 /** Builds the headers of a request to a target. */
 final class TargetRequestHeaders {
@@ -21,30 +22,35 @@
     /**
      * Builds the headers.
      *
+     * @param cache where the target finds cached parts of the prompt, or null for requests without a model
      * @param late whether the request can no longer meet its latency objective
      * @param timeout how long the target has to respond
      */
     static HttpFields build(
-            RelayContext context, CallerRequest caller, LiveTarget target, boolean late, Duration timeout) {
+            RelayContext context,
+            CallerRequest caller,
+            LiveTarget target,
+            @Nullable PromptCachePlan cache,
+            boolean late,
+            Duration timeout) {
         HttpFields.Mutable headers = EndToEndHeaders.copy(
                 caller.headers(),
                 name -> context.headerCodec().isReserved(name)
                         || "content-length".equals(name)
                         || (caller.withholdsApiKey() && "authorization".equals(name)));
-        context.headerCodec().writeTargetHeaders(headers, metadata(context, caller, target, late, timeout));
+        context.headerCodec().writeTargetHeaders(headers, metadata(caller, target, cache, late, timeout));
         return headers;
     }
 
     private static TargetRequestMetadata metadata(
-            RelayContext context, CallerRequest caller, LiveTarget target, boolean late, Duration timeout) {
+            CallerRequest caller, LiveTarget target, @Nullable PromptCachePlan cache, boolean late, Duration timeout) {
         RelayWorkspace workspace = caller.workspace();
         String workspaceName = workspace == null ? null : workspace.name();
         String model = caller.metadata().model();
-        if (model == null) {
+        if (model == null || cache == null) {
             return new TargetRequestMetadata(target.entry().id(), null, workspaceName, null, null, null, null, timeout);
         }
         Long weightsVersion = target.weightsVersion(model) == 0 ? null : target.weightsVersion(model);
-        PromptCachePlan cache = PromptCachePlan.create(context, target, caller.metadata(), workspace);
         return new TargetRequestMetadata(
                 target.entry().id(),
                 weightsVersion,
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
@@ -29,7 +29,7 @@
                 headers.get("t-id"),
                 headers.get("authorization"),
                 timeoutMillis == null ? null : Duration.ofMillis(Long.parseLong(timeoutMillis)),
-                null,
+                headers.get("t-model"),
                 0,
                 0,
                 false,
@@ -50,6 +50,9 @@
         targetChosen.accept(metadata.targetId());
         headers.put("t-target", metadata.targetId());
         headers.put("t-timeout", Long.toString(metadata.timeout().toMillis()));
+        if (metadata.cacheDomain() != null) {
+            headers.put("t-cache-domain", metadata.cacheDomain());
+        }
         if (metadata.workspace() != null) {
             headers.put("t-workspace", metadata.workspace());
         }
