Keep the process alive by its control thread

Cause: main returns, and all threads were daemons but one that the server library creates with its first scheduled task; if main was earlier, the JVM shut down.

Change: the control thread, which exists from start to close, is no daemon. This holds for relay and router.

--- a/core/src/main/java/dev/bluebellshunt/core/control/ControlLoop.java
+++ b/core/src/main/java/dev/bluebellshunt/core/control/ControlLoop.java
@@ -28,8 +28,9 @@
 
     /** Creates the loop; ticks begin with {@link #start()}. */
     public ControlLoop() {
+        // The threads of all servers and clients are daemons, so this one keeps the process alive.
         this.executor = new ScheduledThreadPoolExecutor(
-                1, Thread.ofPlatform().name("control").daemon().factory());
+                1, Thread.ofPlatform().name("control").daemon(false).factory());
     }
 
     /**
