Bound the memory for bodies of requests and responses

Similar systems report it from targets that send bytes without end.

Cause: request bodies and buffered responses are held whole, and nothing bounded their sum. After an OutOfMemoryError the process went on without some threads; the control loop ended its ticks with any Error.

Without room, a request is rejected as not run and a response is forwarded unbuffered.

--- a/core/src/main/java/dev/bluebellshunt/core/control/ControlLoop.java
+++ b/core/src/main/java/dev/bluebellshunt/core/control/ControlLoop.java
@@ -51,7 +51,8 @@
         for (ControlSystem system : systems) {
             try {
                 system.tick();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // An exception that leaves this method ends all ticks.
                 log.error("Control system {} failed.", system.getClass().getSimpleName(), e);
             }
         }
@@ -69,7 +70,7 @@
     private static void runLoggingFailure(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             log.error("A task on the control thread failed.", e);
         }
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -19,6 +19,7 @@
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.peer.PeerSystem;
 import dev.bluebellshunt.relay.peer.ReportReceiver;
+import dev.bluebellshunt.relay.proxy.BodyMemory;
 import dev.bluebellshunt.relay.proxy.CrashRecorder;
 import dev.bluebellshunt.relay.proxy.HeaderCodec;
 import dev.bluebellshunt.relay.proxy.RelayContext;
@@ -157,6 +158,7 @@
                 codec,
                 http,
                 drain,
+                BodyMemory.ofHeap(),
                 decisionLog,
                 metrics,
                 clock,
@@ -295,6 +297,7 @@
         context.metrics()
                 .configuration(
                         configuration.version(), context.operatorState().age().toMillis() / 1_000.0);
+        context.metrics().bodyBytes(context.bodyMemory().usedBytes());
         Duration newTimeout = configuration.limits().idleTimeout();
         if (newTimeout.equals(idleTimeout)) {
             return;
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -30,6 +30,9 @@
     /** Retry delay for callers while this VM has no configuration yet or cannot reach the store. */
     private static final Duration CONFIGURATION_RETRY_DELAY = Duration.ofMillis(300);
 
+    /** Retry delay for callers while this VM holds as many bodies as it can; about the time of a long response. */
+    private static final Duration MEMORY_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final RelayContext context;
     private final Request request;
     private final long receivedNanos;
@@ -41,12 +44,14 @@
     private @Nullable Long fingerprint;
     private Deadline deadline;
     private double chargedCost;
+    private final BodyMemory.Reservation memory;
 
     CallerRequest(RelayContext context, Request request, long receivedNanos) {
         this.context = context;
         this.request = request;
         this.receivedNanos = receivedNanos;
         this.deadline = new Deadline(receivedNanos);
+        this.memory = context.bodyMemory().new Reservation();
     }
 
     CallerRequestMetadata metadata() {
@@ -206,14 +211,33 @@
             throw bodyTooLarge(maxBytes);
         }
         try (InputStream input = Content.Source.asInputStream(request)) {
-            byte[] body = input.readNBytes(maxBytes + 1);
-            if (body.length > maxBytes) {
+            BodyBuffer body = new BodyBuffer(memory);
+            if (context.bodyMemory().hasRoom(request.getLength()) && body.readToEnd(input, maxBytes + 1)) {
+                return body.toByteArray();
+            }
+            if (body.size() > maxBytes) {
                 throw bodyTooLarge(maxBytes);
             }
-            return body;
+            memory.close();
+            // Closing a connection with unread bytes would reset it, and the caller might not receive the rejection.
+            input.skip(maxBytes);
+            throw ShuntException.notRun(
+                    ErrorCode.OVERLOADED,
+                    Step.PARSE,
+                    "The bodies of other requests use up the memory of this router.",
+                    MEMORY_RETRY_DELAY);
         }
     }
 
+    /** Gives back the memory that the bodies of this request and its response have used. */
+    void releaseMemory() {
+        memory.close();
+    }
+
+    BodyMemory.Reservation memory() {
+        return memory;
+    }
+
     private static ShuntException bodyTooLarge(int maxBytes) {
         return ShuntException.notRun(
                 ErrorCode.BODY_TOO_LARGE, Step.PARSE, "The body is larger than " + maxBytes + " bytes.");
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -38,8 +38,8 @@
 final class RelayCall {
 
     /**
-     * Responses on routes that do not stream are buffered up to this size before the first byte is written to the
-     * caller.
+     * Responses on routes that do not stream are buffered up to this size, or as far as there is memory, before the
+     * first byte is written to the caller.
      */
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024;
 
@@ -490,16 +490,21 @@
         ResponseBody body = exchange.responseBody(response);
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         byte[] firstBytes;
+        boolean whole = false;
         try {
-            firstBytes = route.kind() == RouteKind.STREAM
-                    ? readFirstChunk(body, buffer)
-                    : body.readNBytes(MAX_BUFFERED_RESPONSE_BYTES);
+            if (route.kind() == RouteKind.STREAM) {
+                firstBytes = readFirstChunk(body, buffer);
+            } else {
+                BodyBuffer buffered = new BodyBuffer(caller.memory());
+                whole = buffered.readToEnd(body, MAX_BUFFERED_RESPONSE_BYTES);
+                firstBytes = buffered.toByteArray();
+            }
         } catch (IOException e) {
             handleBodyFailure(target, exchange, e);
             return false;
         }
         beginResponse(response, body);
-        if (firstBytes.length < MAX_BUFFERED_RESPONSE_BYTES && route.kind() != RouteKind.STREAM) {
+        if (whole) {
             writer.setLastChunk(firstBytes);
         } else {
             copyStream(firstBytes, body, buffer, target, exchange);
@@ -679,6 +684,11 @@
         return TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - receivedNanos);
     }
 
+    /** Gives back the memory of the bodies, which are no longer needed. */
+    void releaseMemory() {
+        caller.releaseMemory();
+    }
+
     /** Updates the metrics for the outcome of the request, and logs it unless it succeeded. */
     void recordOutcome() {
         RelayRoute route = caller.routeIfKnown();
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
@@ -29,6 +29,7 @@
  * @param headerCodec reads and writes protocol headers
  * @param httpClient the HTTP client for requests to targets
  * @param drainState whether the process is shutting down
+ * @param bodyMemory the memory for bodies of requests and responses
  * @param decisionLog the log of routing decisions and failures
  * @param metrics counters and latency measurements
  * @param clock a monotonic clock that includes time during which the VM is suspended
@@ -48,6 +49,7 @@
         HeaderCodec headerCodec,
         HttpClient httpClient,
         DrainState drainState,
+        BodyMemory bodyMemory,
         DecisionLog decisionLog,
         RelayMetrics metrics,
         MonotonicClock clock,
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -93,6 +93,7 @@
         } finally {
             openCalls.remove(endPoint, call);
             context.drainState().requestEnded();
+            call.releaseMemory();
             call.recordOutcome();
         }
         return true;
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -55,6 +55,10 @@
             .name("bluebellshunt_relay_configuration_age_seconds")
             .help("How old the knowledge of the configuration may be.")
             .register(registry);
+    private final Gauge bodyBytes = Gauge.builder()
+            .name("bluebellshunt_relay_body_bytes")
+            .help("Memory for the bodies of open requests and their responses.")
+            .register(registry);
 
     /**
      * Counts a completed request.
@@ -123,6 +127,15 @@
         configurationAge.set(ageSeconds);
     }
 
+    /**
+     * Records the memory for bodies that is in use.
+     *
+     * @param bytes the size of all bodies that are held
+     */
+    public void bodyBytes(long bytes) {
+        bodyBytes.set(bytes);
+    }
+
     /**
      * Renders all metrics.
      *
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -62,6 +62,7 @@
 
     static final Duration MAX_CONFIGURATION_AGE = Duration.ofSeconds(4);
     static final long WAIT_SECONDS = 20;
+    static final int MAX_BODY_MEMORY_BYTES = 2_000_000;
 
     static final String EVENT_STREAM = "content-type: text/event-stream;charset=utf-8\r\n";
 
@@ -74,6 +75,7 @@
     final RelayMetrics metrics = new RelayMetrics();
     final TargetDirectory directory =
             new TargetDirectory(clock, new CrashRecorder(crashSuspects, metrics, new DecisionLog(clock))::recordEnd);
+    final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
     final DrainState drainState = new DrainState(clock);
     final TestHeaderCodec headerCodec = new TestHeaderCodec();
     final PeerReportTable peerReports = new PeerReportTable(clock, Duration.ofSeconds(8));
@@ -216,6 +218,7 @@
                 headerCodec,
                 HttpClients.start("targets", closer),
                 drainState,
+                bodyMemory,
                 new DecisionLog(clock),
                 metrics,
                 clock,
