Withhold API keys on routes that are open to all

Cause: the key was withheld, and looked up, only where the route requires one.

Change: where API keys are in use, a presented key is never forwarded. On an open route it names the workspace for the target, if the configuration is fresh; the workspace is not charged, and no key is rejected.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -44,6 +44,7 @@
     private @Nullable Long fingerprint;
     private Deadline deadline;
     private double chargedCost;
+    private boolean keysInUse;
     private final BodyMemory.Reservation memory;
 
     CallerRequest(RelayContext context, Request request, long receivedNanos) {
@@ -85,7 +86,10 @@
         return requireAdmitted(outgoing);
     }
 
-    /** Returns the workspace that the request is charged to, or null if no API key is required. */
+    /**
+     * Returns the workspace that holds the request's API key, or null if there is none. It is charged for the request
+     * unless the route is open to all.
+     */
     @Nullable
     RelayWorkspace workspace() {
         return workspace;
@@ -122,9 +126,9 @@
         return computed;
     }
 
-    /** Whether the API key must not be forwarded to a target. */
+    /** Whether the API key must not be forwarded to a target, which holds also where a route needs none. */
     boolean withholdsApiKey() {
-        return workspace != null || !route().anonymous();
+        return !route().anonymous() || (keysInUse && metadata.apiKey() != null);
     }
 
     private static <T> T requireAdmitted(@Nullable T value) {
@@ -190,7 +194,12 @@
     }
 
     private void authenticate(RelayConfiguration configuration, RelayRoute matchedRoute) {
-        if (matchedRoute.anonymous() || configuration.workspaces().isEmpty()) {
+        keysInUse = !configuration.workspaces().isEmpty();
+        if (!keysInUse) {
+            return;
+        }
+        if (matchedRoute.anonymous()) {
+            workspace = workspaceOfOptionalKey(configuration);
             return;
         }
         if (!context.isConfigurationFresh()) {
@@ -206,6 +215,14 @@
                         ShuntException.notRun(ErrorCode.INVALID_KEY, Step.AUTHENTICATE, "The API key is unknown."));
     }
 
+    /** Returns the workspace of a request that needs no API key, or null if it has none that is certainly valid. */
+    private @Nullable RelayWorkspace workspaceOfOptionalKey(RelayConfiguration configuration) {
+        String apiKey = metadata.apiKey();
+        return apiKey == null || !context.isConfigurationFresh()
+                ? null
+                : configuration.workspaceOfKey(apiKey).orElse(null);
+    }
+
     private byte[] readBody(int maxBytes) throws IOException {
         if (request.getLength() > maxBytes) {
             throw bodyTooLarge(maxBytes);
@@ -262,7 +279,7 @@
 
     private void charge() {
         RelayWorkspace chargedWorkspace = workspace;
-        if (chargedWorkspace == null) {
+        if (chargedWorkspace == null || route().anonymous()) {
             return;
         }
         double cost = !chargedWorkspace.countsTokens()
