Leave out the length of responses that are forwarded as they arrive

What callers saw: now and then a request on a kept connection got no response, because the relay closed the connection.

Cause: a response on a streaming route that is no event stream, or one over 256 KB, kept its Content-Length. Its caller had the whole response with the last byte, while the relay was still about to read the end of the target's. If the next request came by then, the watch for disconnects read it, and the connection was closed after the response as for data that comes too early.

Change: such a response has chunks, as event streams have, so that it ends only when the relay has completed it. PipelinedRequestTests checks the framing, since the race itself needs luck.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -13,6 +13,7 @@
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.transport.ResponseBody;
+import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ConnectException;
@@ -503,7 +504,7 @@
             handleBodyFailure(target, exchange, e);
             return false;
         }
-        beginResponse(response, body);
+        beginResponse(response, body, whole);
         if (whole) {
             writer.setLastChunk(firstBytes);
         } else {
@@ -569,7 +570,7 @@
         }
     }
 
-    private void beginResponse(org.eclipse.jetty.client.Response response, ResponseBody body) {
+    private void beginResponse(org.eclipse.jetty.client.Response response, ResponseBody body, boolean whole) {
         int status = response.getStatus();
         if (NOT_EXECUTED_STATUSES.contains(status)) {
             throw new ShuntException(
@@ -579,7 +580,8 @@
                     Outcome.UNKNOWN,
                     "The target responded with status " + status + " but may have run the request.");
         }
-        writer.copyHead(response, body.isEventStream());
+        boolean streamed = !whole && body.framing() != ResponseFraming.NO_BODY;
+        writer.copyHead(response, streamed || body.isEventStream());
         if (!body.framing().marksEnd()) {
             writer.leaveEndOpen();
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/ResponseWriter.java
@@ -22,12 +22,13 @@
     }
 
     /**
-     * Copies the status and the end-to-end headers of the target's response. The length of an event stream is left out,
-     * since whether the stream is complete is known only after its last byte.
+     * Copies the status and the end-to-end headers of the target's response. The length of a response that is forwarded as
+     * it arrives is left out: its last byte would complete it, although an event stream may still turn out to be truncated,
+     * and although the relay still reads what the caller sends.
      */
-    void copyHead(org.eclipse.jetty.client.Response targetResponse, boolean eventStream) {
+    void copyHead(org.eclipse.jetty.client.Response targetResponse, boolean withoutLength) {
         HttpFields.Mutable headers = EndToEndHeaders.copy(
-                targetResponse.getHeaders(), name -> eventStream && HttpHeader.CONTENT_LENGTH.is(name));
+                targetResponse.getHeaders(), name -> withoutLength && HttpHeader.CONTENT_LENGTH.is(name));
         response.setStatus(targetResponse.getStatus());
         headers.forEach(field -> response.getHeaders().add(field));
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/PipelinedRequestTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/PipelinedRequestTests.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.startsWith;
 
 import java.net.InetAddress;
@@ -12,7 +13,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -82,6 +85,22 @@
         }
     }
 
+    /**
+     * Guards against a next request that is lost with its connection: its caller has received the whole response by its
+     * length, while the relay is still watching the connection and reads the request.
+     */
+    @Test
+    void streamedResponseEndsOnlyWhenRelayHasCompletedIt() throws Exception {
+        configure();
+        scriptedResponses.add(ok("whole"));
+        ContentResponse streamed = get("/stream/");
+        assertThat(streamed.getHeaders().contains("content-length"), equalTo(false));
+        assertThat(streamed.getHeaders().get("transfer-encoding"), equalTo("chunked"));
+        assertThat(streamed.getContentAsString(), equalTo("whole"));
+        scriptedResponses.add(ok("x".repeat(300_000)));
+        assertThat(get("/once/").getHeaders().contains("content-length"), equalTo(false));
+    }
+
     /** Guards against the same in the middle of a stream. */
     @ParameterizedTest
     @ValueSource(strings = {"\r\n", "GET /stream/second HTTP/1.1\r\nhost: h.example\r\nt-id: id-2\r\n\r\n"})
