Measure how long the weights have been replaced on which a response begins

Each response that begins on replaced weights now counts in bluebellshunt_relay_replaced_weights_seconds, and one beyond the allowed staleness gets a line "replaced_weights" with the time since it was sent. The line about new desired weights states the age of the previous state, which bounds the time of the publication from below.

Evidence: ReplacedWeightsTests; no change of behaviour.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.RouteKind;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.transport.ResponseBody;
@@ -22,6 +23,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpStatus;
@@ -381,6 +383,9 @@
             return false;
         }
         possiblyExecutedAttempts++;
+        if (ownResponse && model != null && weightsVersion != null) {
+            recordWeights(model, weightsVersion);
+        }
         if (ownResponse) {
             crashes.recordResponse(target, exchange.connection());
         }
@@ -421,6 +426,34 @@
         return forwardResponse(target, route, exchange, response);
     }
 
+    /** Records how long the weights with which a response begins have been replaced. */
+    private void recordWeights(String model, long weightsVersion) {
+        OperatorStateSystem.DesiredWeights desired =
+                context.operatorState().weights().get(model);
+        OptionalLong superseded = desired == null ? OptionalLong.empty() : desired.supersededNanos(weightsVersion);
+        if (superseded.isEmpty()) {
+            return;
+        }
+        Duration staleness = Duration.ofNanos(context.clock().nanos() - superseded.getAsLong());
+        context.metrics().replacedWeights(staleness.toMillis() / 1_000.0);
+        if (staleness.compareTo(context.maxWeightsStaleness()) > 0) {
+            context.decisionLog()
+                    .write(
+                            "replaced_weights",
+                            requestId(),
+                            "target",
+                            lastTarget,
+                            "weights",
+                            weightsVersion,
+                            "replaced_ms",
+                            staleness.toMillis(),
+                            "ms_since_send",
+                            TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - sentNanos),
+                            "configuration_age_ms",
+                            context.operatorState().age().toMillis());
+        }
+    }
+
     /**
      * Whether to stop waiting for the response of an unresponsive target and to retry on another one. Applies only
      * to requests that may run more than once.
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -98,6 +99,22 @@
             return 0;
         }
 
+        /**
+         * Returns when this VM learned that a version had been superseded.
+         *
+         * @param older the version
+         * @return the time, or empty if no newer version is known
+         */
+        public OptionalLong supersededNanos(long older) {
+            OptionalLong superseded = OptionalLong.empty();
+            for (DesiredWeights weights = this;
+                    weights != null && weights.version > older;
+                    weights = weights.previous) {
+                superseded = OptionalLong.of(weights.learnedNanos);
+            }
+            return superseded;
+        }
+
         private DesiredWeights dropHistoryBefore(long nanos) {
             if (previous == null) {
                 return this;
@@ -215,7 +232,11 @@
                 DesiredWeights next = new DesiredWeights(entry.getValue(), learnedNanos, previous);
                 weights.put(entry.getKey(), next.dropHistoryBefore(clock.nanos() - VERSION_RETENTION.toNanos()));
                 changed = true;
-                log.info("Desired weights are now version {} of model {}.", entry.getValue(), entry.getKey());
+                log.info(
+                        "Desired weights are now version {} of model {}; the previous state was {}.",
+                        entry.getValue(),
+                        entry.getKey(),
+                        initialized ? age().toMillis() + " ms old" : "unknown");
             }
         }
         if (changed) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -14,6 +14,8 @@
 
     private static final double[] LATENCY_BUCKETS_SECONDS = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15};
 
+    private static final double[] STALENESS_BUCKETS_SECONDS = {0.5, 1, 2, 3, 4, 5, 6, 8, 10, 15};
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests = Counter.builder()
             .name("bluebellshunt_relayed_requests_total")
@@ -47,6 +49,13 @@
             .classicUpperBounds(LATENCY_BUCKETS_SECONDS)
             .classicOnly()
             .register(registry);
+    private final Histogram replacedWeights = Histogram.builder()
+            .name("bluebellshunt_relay_replaced_weights_seconds")
+            .help(
+                    "Time since the weights were replaced with which a response began, for those that began on older ones.")
+            .classicUpperBounds(STALENESS_BUCKETS_SECONDS)
+            .classicOnly()
+            .register(registry);
     private final Gauge configurationVersion = Gauge.builder()
             .name("bluebellshunt_relay_configuration_version")
             .help("The configuration in force.")
@@ -116,6 +125,15 @@
         firstByte.labelValues(kind).observe(seconds);
     }
 
+    /**
+     * Records a response that began on weights which operators had replaced.
+     *
+     * @param seconds the time since newer weights became the desired ones, as far as this VM knows
+     */
+    public void replacedWeights(double seconds) {
+        replacedWeights.observe(seconds);
+    }
+
     /**
      * Records the version and age of the current configuration.
      *
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/ReplacedWeightsTests.java
@@ -0,0 +1,65 @@
+package dev.bluebellshunt.relay.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+
+import dev.bluebellshunt.relay.store.OperatorState;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against responses that begin on replaced weights without a trace in the metrics. */
+class ReplacedWeightsTests extends AbstractRelayHandlerTests {
+
+    @BeforeEach
+    void publishWeights() {
+        configure();
+        publish(1);
+        publish(2);
+    }
+
+    private void publish(long version) {
+        store.publish(new OperatorState(0, null, Map.of("m", version)));
+        control.runAll();
+    }
+
+    private void requestModel(String weightsVersion) throws Exception {
+        scriptedResponses.add((request, response, callback) -> {
+            response.getHeaders().put("t-weights", weightsVersion);
+            ok("text").respond(request, response, callback);
+        });
+        assertThat(
+                request("/safe/x")
+                        .headers(headers -> headers.put("t-model", "m"))
+                        .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                        .send()
+                        .getStatus(),
+                equalTo(200));
+    }
+
+    private void assertReplacedWeights(String count) {
+        assertThat(
+                new String(metrics.text(), StandardCharsets.UTF_8),
+                containsString("bluebellshunt_relay_replaced_weights_seconds_count " + count + "\n"));
+    }
+
+    @Test
+    void responseThatBeginsOnReplacedWeightsIsMeasured() throws Exception {
+        clock.advance(Duration.ofSeconds(3));
+        requestModel("1");
+        assertReplacedWeights("1");
+        assertThat(
+                new String(metrics.text(), StandardCharsets.UTF_8),
+                containsString("bluebellshunt_relay_replaced_weights_seconds_bucket{le=\"3.0\"} 1\n"));
+    }
+
+    @Test
+    void responseThatBeginsOnTheLatestWeightsIsNotMeasured() throws Exception {
+        requestModel("2");
+        assertReplacedWeights("0");
+    }
+}
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
@@ -66,7 +66,7 @@
                 headers.contains("t-not-run"),
                 headers.contains("t-other-target"),
                 headers.contains("t-other-weights"),
-                null,
+                headers.contains("t-weights") ? Long.valueOf(headers.get("t-weights")) : null,
                 headers.contains("t-other-target") ? TargetSignals.NONE : signals(headers));
     }
 
