Date new weights from the last state without them, not from their arrival

Cause: OperatorStateSystem stamped a version with the time at which this VM learned of it, while its deadline runs from its publication. A VM that stands still for 4 s learned up to 4 s late, and allowed the older version for 5.5 s more. A version that was superseded meanwhile had no deadline at all, and another VM's state brought no time of the publication with it.

Change: what a VM knows of a publication is a lower bound of its time. It is the latest time at which the store was read without it: the previous state, or a later read of any key whose revision is lower, if the change came from a watch, which leaves out no version. VMs hand over all versions with these bounds; each bound holds for everyone, so the later one of two is used. A VM whose bound is more than 2 s old asks the others for theirs. A VM that restarts takes over the bounds of the others instead of an age of an hour.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -27,6 +27,7 @@
 import dev.bluebellshunt.relay.quarantine.QuarantineSystem;
 import dev.bluebellshunt.relay.quarantine.QuarantineTable;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedStore;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
@@ -134,7 +135,9 @@
         RandomGenerator random = RandomGenerator.getDefault();
         ControlLoop control = closer.add(new ControlLoop());
         CurrentTopology topology = new CurrentTopology();
-        OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, topology::isMember);
+        RevisionTimes revisionTimes = new RevisionTimes();
+        OperatorStateSystem operators =
+                new OperatorStateSystem(store, control, clock, topology::isMember, revisionTimes);
         CrashSuspects crashSuspects = new CrashSuspects(clock, random);
         DecisionLog decisionLog = new DecisionLog(clock);
         RelayMetrics metrics = new RelayMetrics();
@@ -173,7 +176,8 @@
                 clock,
                 new JitteredTimer(clock, random, TARGET_INTERVAL),
                 topology::isMember,
-                settings.leavingTime().multipliedBy(3).dividedBy(4));
+                settings.leavingTime().multipliedBy(3).dividedBy(4),
+                revisionTimes);
         control.add(targetList);
         for (QuarantineTable quarantines : List.of(
                 QuarantineTable.ofRequests(crashSuspects),
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -200,7 +200,9 @@
         currentHub = "";
         receiver.prefixUpdates().add(vm, engineCacheIndex.drainUpdates(), true);
         PeerReport group = peerReports.groupReport();
-        boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0 || targetList.isStale();
+        boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0
+                || operators.isPublicationUncertain()
+                || targetList.isStale();
         if (skipsIdleReport(group, TICKS_PER_IDLE_REPORT) && !wantsState) {
             return;
         }
@@ -278,7 +280,7 @@
     private void receive(ReportReply reply, long askedNanos) {
         ReportReply.Operators state = reply.operators();
         if (state != null) {
-            operators.learn(state.state(), askedNanos - TimeUnit.MILLISECONDS.toNanos(state.ageMillis()));
+            operators.learn(state.at(askedNanos));
         }
         ReportReply.Targets targets = reply.targets();
         if (targets != null) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
@@ -5,7 +5,6 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreIndex;
 import dev.bluebellshunt.relay.limit.FleetLimits;
-import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.TargetDirectory;
@@ -114,15 +113,10 @@
     }
 
     private ReportReply.@Nullable Operators operatorState(long knownVersion) {
-        OperatorStateSystem.Snapshot snapshot = operators.snapshot().orElse(null);
-        if (snapshot == null) {
-            return null;
-        }
-        OperatorState state = snapshot.state();
-        boolean known = state.configuration() != null && state.configuration().version() <= knownVersion;
-        return new ReportReply.Operators(
-                known ? new OperatorState(state.revision(), null, state.weights()) : state,
-                ageMillis(snapshot.asOfNanos()));
+        return operators
+                .snapshot()
+                .map(snapshot -> ReportReply.Operators.of(snapshot, knownVersion, clock.nanos()))
+                .orElse(null);
     }
 
     private ReportReply.@Nullable Targets targets(long knownListing) {
@@ -133,12 +127,7 @@
         return new ReportReply.Targets(
                 listing.number(),
                 knownListing >= listing.entriesNumber() ? null : listing.entries(),
-                ageMillis(listing.asOfNanos()),
+                ReportReply.age(listing.asOfNanos(), clock.nanos()),
                 TimeUnit.NANOSECONDS.toMillis(clock.nanos() - listing.availableSinceNanos()));
     }
-
-    /** Returns the age in milliseconds, rounded up. */
-    private long ageMillis(long asOfNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(clock.nanos() - asOfNanos) + 1;
-    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
@@ -1,9 +1,15 @@
 package dev.bluebellshunt.relay.peer;
 
 import dev.bluebellshunt.relay.cache.IndexChanges;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.TargetEntry;
-import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.DesiredWeights;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,10 +34,66 @@
     /**
      * The operators' state.
      *
-     * @param state the state, without the configuration if the sender of the report has it
-     * @param ageMillis its age
+     * @param revision the revision of the store that it covers
+     * @param configuration the configuration, or null if the sender of the report has it
+     * @param weights the known versions of the weights by model, oldest first
+     * @param ageMillis the age of the state
      */
-    public record Operators(OperatorState state, long ageMillis) {}
+    public record Operators(
+            long revision,
+            @Nullable RelayConfiguration configuration,
+            Map<String, List<PublishedVersion>> weights,
+            long ageMillis) {
+
+        static Operators of(OperatorStateSystem.Snapshot snapshot, long knownConfiguration, long nowNanos) {
+            RelayConfiguration configuration = snapshot.configuration();
+            boolean known = configuration != null && configuration.version() <= knownConfiguration;
+            Map<String, List<PublishedVersion>> weights = new HashMap<>();
+            snapshot.weights().forEach((model, newest) -> weights.put(model, versions(newest, nowNanos)));
+            return new Operators(
+                    snapshot.revision(), known ? null : configuration, weights, age(snapshot.asOfNanos(), nowNanos));
+        }
+
+        private static List<PublishedVersion> versions(DesiredWeights newest, long nowNanos) {
+            List<PublishedVersion> versions = new ArrayList<>();
+            for (DesiredWeights desired = newest; desired != null; desired = desired.previous()) {
+                versions.add(new PublishedVersion(desired.version(), age(desired.notBeforeNanos(), nowNanos)));
+            }
+            return versions.reversed();
+        }
+
+        /** Returns the state as of the time at which the reply was asked for, so that its age is not understated. */
+        OperatorStateSystem.Snapshot at(long askedNanos) {
+            Map<String, DesiredWeights> desired = new HashMap<>();
+            weights.forEach((model, versions) -> {
+                DesiredWeights newest = null;
+                for (PublishedVersion version : versions) {
+                    newest = new DesiredWeights(version.version(), nanos(askedNanos, version.maxAgeMillis()), newest);
+                }
+                if (newest != null) {
+                    desired.put(model, newest);
+                }
+            });
+            return new OperatorStateSystem.Snapshot(revision, configuration, desired, nanos(askedNanos, ageMillis));
+        }
+
+        private static long nanos(long askedNanos, long ageMillis) {
+            return askedNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+        }
+    }
+
+    /**
+     * A version of a model's weights.
+     *
+     * @param version the version
+     * @param maxAgeMillis the maximum time since its publication
+     */
+    public record PublishedVersion(long version, long maxAgeMillis) {}
+
+    /** Returns an age in milliseconds, rounded up. */
+    static long age(long sinceNanos, long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos) + 1;
+    }
 
     /**
      * The registered targets.
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/MinimumWeightsVersion.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/MinimumWeightsVersion.java
@@ -1,6 +1,6 @@
 package dev.bluebellshunt.relay.proxy;
 
-import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.DesiredWeights;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 
@@ -22,8 +22,7 @@
      * @param late whether the request is queued behind all others and may wait longer before it starts
      * @return the version, or zero for any
      */
-    static long compute(
-            OperatorStateSystem.@Nullable DesiredWeights desired, long nowNanos, Duration maxStaleness, boolean late) {
+    static long compute(@Nullable DesiredWeights desired, long nowNanos, Duration maxStaleness, boolean late) {
         if (desired == null) {
             return 0;
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -10,7 +10,7 @@
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.RouteKind;
-import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.transport.ResponseBody;
@@ -428,8 +428,7 @@
 
     /** Records how long the weights with which a response begins have been replaced. */
     private void recordWeights(String model, long weightsVersion) {
-        OperatorStateSystem.DesiredWeights desired =
-                context.operatorState().weights().get(model);
+        DesiredWeights desired = context.operatorState().weights().get(model);
         OptionalLong superseded = desired == null ? OptionalLong.empty() : desired.supersededNanos(weightsVersion);
         if (superseded.isEmpty()) {
             return;
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorState.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorState.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.store;
 
 import dev.bluebellshunt.relay.model.RelayConfiguration;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -9,6 +10,8 @@
  *
  * @param revision the revision of the store that the state covers
  * @param configuration the latest configuration, or null if there is none or it has not changed
- * @param weights the latest desired version of the weights, by model
+ * @param weights the desired weights by model: the latest version in a full state, all versions in a change, oldest
+ *     first
  */
-public record OperatorState(long revision, @Nullable RelayConfiguration configuration, Map<String, Long> weights) {}
+public record OperatorState(
+        long revision, @Nullable RelayConfiguration configuration, Map<String, List<PublishedWeights>> weights) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -9,7 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -44,15 +44,22 @@
     /** Retention of superseded versions; exceeds every deadline for new weights. The latest older one is kept as well. */
     static final Duration VERSION_RETENTION = Duration.ofMinutes(1);
 
-    /** Assumed age of the versions found at startup, since the time at which they were set is unknown. */
+    /** Assumed age of the versions found at startup, unless another VM knows that they are newer. */
     static final Duration INITIAL_VERSION_AGE = Duration.ofHours(1);
 
+    /** Exceeds the uncertainty about the time of a publication on a VM that reads the targets regularly. */
+    static final Duration MAX_PUBLICATION_UNCERTAINTY = Duration.ofSeconds(2);
+
+    /** Time for which other VMs are asked about an uncertain publication; covers reports to several of them. */
+    static final Duration PUBLICATION_QUERY_TIME = Duration.ofSeconds(3);
+
     private static final Logger log = LoggerFactory.getLogger("operators");
 
     private final SharedStore store;
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final BooleanSupplier mayFollowPeer;
+    private final RevisionTimes revisionTimes;
     private final Map<String, DesiredWeights> weights = new HashMap<>();
     private boolean callInFlight;
     private boolean fullReadNeeded = true;
@@ -60,72 +67,25 @@
     private boolean initialized;
     private long revision;
     private Deadline nextCall;
+    private Deadline publicationQueryEnd;
     private volatile @Nullable RelayConfiguration configuration;
     private volatile Map<String, DesiredWeights> weightsSnapshot = Map.of();
     private volatile long stateAsOfNanos;
     private volatile @Nullable Snapshot snapshot;
 
     /**
-     * The local copy at one time.
+     * A copy of the state at one time.
      *
-     * @param state the state, with the full configuration
-     * @param asOfNanos the time as of which the state was current
+     * @param revision the revision of the store that the copy covers
+     * @param configuration the configuration, or null if there is none or the receiver of the copy has it
+     * @param weights the desired weights by model
+     * @param asOfNanos the time as of which the copy was current
      */
-    public record Snapshot(OperatorState state, long asOfNanos) {}
-
-    /**
-     * A version of a model's weights that operators have set as the desired one.
-     *
-     * @param version the version
-     * @param learnedNanos when this VM learned of the version; {@link #INITIAL_VERSION_AGE} before startup for
-     *     versions found at startup
-     * @param previous the version that it superseded, or null if none is known or it is past its retention
-     */
-    public record DesiredWeights(
-            long version, long learnedNanos, @Nullable DesiredWeights previous) {
-
-        /**
-         * Returns the latest version that was known at a given time.
-         *
-         * @param nanos the time
-         * @return the version, or zero if none was known
-         */
-        public long asOf(long nanos) {
-            for (DesiredWeights weights = this; weights != null; weights = weights.previous) {
-                if (weights.learnedNanos - nanos <= 0) {
-                    return weights.version;
-                }
-            }
-            return 0;
-        }
-
-        /**
-         * Returns when this VM learned that a version had been superseded.
-         *
-         * @param older the version
-         * @return the time, or empty if no newer version is known
-         */
-        public OptionalLong supersededNanos(long older) {
-            OptionalLong superseded = OptionalLong.empty();
-            for (DesiredWeights weights = this;
-                    weights != null && weights.version > older;
-                    weights = weights.previous) {
-                superseded = OptionalLong.of(weights.learnedNanos);
-            }
-            return superseded;
-        }
-
-        private DesiredWeights dropHistoryBefore(long nanos) {
-            if (previous == null) {
-                return this;
-            }
-            boolean isLast = previous.learnedNanos - nanos <= 0;
-            DesiredWeights retained = isLast
-                    ? new DesiredWeights(previous.version, previous.learnedNanos, null)
-                    : previous.dropHistoryBefore(nanos);
-            return new DesiredWeights(version, learnedNanos, retained);
-        }
-    }
+    public record Snapshot(
+            long revision,
+            @Nullable RelayConfiguration configuration,
+            Map<String, DesiredWeights> weights,
+            long asOfNanos) {}
 
     /**
      * Creates a system that starts with a full read.
@@ -135,14 +95,21 @@
      * @param clock a clock that includes the time for which the VM is suspended
      * @param mayFollowPeer whether another VM watches the store for this one, so that this VM calls the store only
      *     when the local copy is older than {@link #MAX_PEER_AGE}
+     * @param revisionTimes when this VM read the store, to date publications
      */
     public OperatorStateSystem(
-            SharedStore store, ControlExecutor control, MonotonicClock clock, BooleanSupplier mayFollowPeer) {
+            SharedStore store,
+            ControlExecutor control,
+            MonotonicClock clock,
+            BooleanSupplier mayFollowPeer,
+            RevisionTimes revisionTimes) {
         this.store = store;
         this.control = control;
         this.clock = clock;
         this.mayFollowPeer = mayFollowPeer;
+        this.revisionTimes = revisionTimes;
         this.nextCall = new Deadline(clock.nanos());
+        this.publicationQueryEnd = nextCall;
     }
 
     @Override
@@ -163,46 +130,117 @@
         boolean fullRead = fullReadNeeded;
         control.onCompletion(
                 fullRead ? store.readOperatorState() : store.awaitOperatorChange(revision, WATCH_TIMEOUT),
-                state -> onState(state, sentNanos),
+                state -> onState(state, sentNanos, fullRead),
                 this::onFailure);
     }
 
-    private void onState(OperatorState state, long sentNanos) {
+    private void onState(OperatorState state, long sentNanos, boolean fullRead) {
         callInFlight = false;
         fullReadNeeded = false;
         if (!reachable) {
             reachable = true;
             log.info("The store answers again.");
         }
-        update(state, sentNanos);
+        update(state, sentNanos, fullRead);
         if (!followsPeer()) {
             call();
         }
     }
 
-    private void update(OperatorState state, long asOfNanos) {
-        revision = Math.max(revision, state.revision());
-        apply(state);
+    private void update(OperatorState state, long sentNanos, boolean fullRead) {
+        state.weights().forEach((model, versions) -> {
+            for (PublishedWeights published : versions) {
+                DesiredWeights known = weights.get(model);
+                if (known == null || known.version() < published.version()) {
+                    setWeights(model, date(known, published, fullRead));
+                }
+            }
+        });
+        revisionTimes.record(state.revision(), sentNanos);
+        adopt(state.revision(), state.configuration(), sentNanos);
+    }
+
+    /**
+     * Returns newly published weights with the latest known time before their publication. A full read leaves out the
+     * versions between the known one and the latest, which may have been published at any time since the previous state.
+     */
+    private DesiredWeights date(@Nullable DesiredWeights known, PublishedWeights published, boolean fullRead) {
+        long notBeforeNanos = clock.nanos() - INITIAL_VERSION_AGE.toNanos();
+        if (initialized) {
+            long readNanos = fullRead
+                    ? stateAsOfNanos
+                    : revisionTimes.lastReadBefore(published.revision()).orElse(stateAsOfNanos);
+            notBeforeNanos = readNanos - stateAsOfNanos > 0 ? readNanos : stateAsOfNanos;
+        }
+        if (clock.nanos() - notBeforeNanos > MAX_PUBLICATION_UNCERTAINTY.toNanos()) {
+            publicationQueryEnd = Deadline.after(clock, PUBLICATION_QUERY_TIME);
+        }
+        return known == null
+                ? new DesiredWeights(published.version(), notBeforeNanos, null)
+                : known.supersededBy(published.version(), notBeforeNanos);
+    }
+
+    private void setWeights(String model, DesiredWeights desired) {
+        DesiredWeights known =
+                weights.put(model, desired.dropHistoryBefore(clock.nanos() - VERSION_RETENTION.toNanos()));
+        if (known == null || known.version() < desired.version()) {
+            log.info(
+                    "Desired weights are now version {} of model {}; it was published at most {} ms ago.",
+                    desired.version(),
+                    model,
+                    TimeUnit.NANOSECONDS.toMillis(clock.nanos() - desired.notBeforeNanos()));
+        }
+        weightsSnapshot = Map.copyOf(weights);
+    }
+
+    private void adopt(long newRevision, @Nullable RelayConfiguration newConfiguration, long asOfNanos) {
+        revision = Math.max(revision, newRevision);
+        RelayConfiguration current = configuration;
+        if (newConfiguration != null && (current == null || newConfiguration.version() > current.version())) {
+            configuration = newConfiguration;
+            log.info(
+                    "Configuration {} is in force; it replaces {}.",
+                    newConfiguration.version(),
+                    current == null ? "none" : current.version());
+        }
         if (!initialized || asOfNanos - stateAsOfNanos > 0) {
             stateAsOfNanos = asOfNanos;
         }
         initialized = true;
-        Map<String, Long> versions = new HashMap<>();
-        weights.forEach((model, desired) -> versions.put(model, desired.version()));
-        snapshot = new Snapshot(new OperatorState(revision, configuration, versions), stateAsOfNanos);
+        publishSnapshot();
+    }
+
+    private void publishSnapshot() {
+        snapshot = new Snapshot(revision, configuration, weightsSnapshot, stateAsOfNanos);
     }
 
     /**
-     * Adopts the state of another VM. An older state than the local copy changes nothing.
+     * Adopts the state of another VM. Of a state that is older than the local copy, only what it says about the times of
+     * publications is used.
      *
-     * @param state the state; its configuration is null if this VM has it already
-     * @param asOfNanos the time as of which it was current, on the clock of this VM
+     * @param state the state, with times on the clock of this VM that are not later than the actual ones
      */
-    public void learn(OperatorState state, long asOfNanos) {
-        if (initialized && asOfNanos - stateAsOfNanos <= 0) {
+    public void learn(Snapshot state) {
+        state.weights().forEach((model, desired) -> {
+            DesiredWeights known = weights.get(model);
+            setWeights(
+                    model,
+                    initialized ? DesiredWeights.merge(known, stateAsOfNanos, desired, state.asOfNanos()) : desired);
+        });
+        if (initialized && state.asOfNanos() - stateAsOfNanos <= 0) {
+            publishSnapshot();
             return;
         }
-        update(state, asOfNanos);
+        adopt(state.revision(), state.configuration(), state.asOfNanos());
+    }
+
+    /**
+     * Returns whether other VMs may know better when the latest weights were published.
+     *
+     * @return true if this VM should ask another one
+     */
+    public boolean isPublicationUncertain() {
+        return !publicationQueryEnd.hasPassed(clock);
     }
 
     /**
@@ -214,36 +252,6 @@
         return Optional.ofNullable(snapshot);
     }
 
-    private void apply(OperatorState state) {
-        RelayConfiguration newer = state.configuration();
-        RelayConfiguration current = configuration;
-        if (newer != null && (current == null || newer.version() > current.version())) {
-            configuration = newer;
-            log.info(
-                    "Configuration {} is in force; it replaces {}.",
-                    newer.version(),
-                    current == null ? "none" : current.version());
-        }
-        boolean changed = false;
-        for (Map.Entry<String, Long> entry : state.weights().entrySet()) {
-            DesiredWeights previous = weights.get(entry.getKey());
-            if (previous == null || previous.version() < entry.getValue()) {
-                long learnedNanos = initialized ? clock.nanos() : clock.nanos() - INITIAL_VERSION_AGE.toNanos();
-                DesiredWeights next = new DesiredWeights(entry.getValue(), learnedNanos, previous);
-                weights.put(entry.getKey(), next.dropHistoryBefore(clock.nanos() - VERSION_RETENTION.toNanos()));
-                changed = true;
-                log.info(
-                        "Desired weights are now version {} of model {}; the previous state was {}.",
-                        entry.getValue(),
-                        entry.getKey(),
-                        initialized ? age().toMillis() + " ms old" : "unknown");
-            }
-        }
-        if (changed) {
-            weightsSnapshot = Map.copyOf(weights);
-        }
-    }
-
     private void onFailure(Throwable failure) {
         callInFlight = false;
         fullReadNeeded = true;
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/RegisteredTargets.java
@@ -0,0 +1,12 @@
+package dev.bluebellshunt.relay.store;
+
+import dev.bluebellshunt.relay.model.TargetEntry;
+import java.util.List;
+
+/**
+ * The registered targets.
+ *
+ * @param revision a revision of the store that was current while they were read
+ * @param entries all well-formed entries
+ */
+public record RegisteredTargets(long revision, List<TargetEntry> entries) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
@@ -1,6 +1,5 @@
 package dev.bluebellshunt.relay.store;
 
-import dev.bluebellshunt.relay.model.TargetEntry;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -36,9 +35,9 @@
     /**
      * Reads the registered targets.
      *
-     * @return all well-formed entries
+     * @return all well-formed entries, and a revision that was current while they were read
      */
-    CompletableFuture<List<TargetEntry>> readTargets();
+    CompletableFuture<RegisteredTargets> readTargets();
 
     /**
      * Reads records of the VMs. The result may be some seconds old.
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -6,6 +6,7 @@
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedStore;
 import java.time.Duration;
 import java.util.List;
@@ -35,6 +36,7 @@
     private final JitteredTimer pollInterval;
     private final BooleanSupplier mayFollowPeer;
     private final Duration maxPeerAge;
+    private final RevisionTimes revisionTimes;
     private boolean readPending;
     private boolean storeFailed;
     private boolean failedSinceListing;
@@ -68,6 +70,7 @@
      * @param mayFollowPeer whether another VM reads the targets for this one, so that this VM reads them only when the
      *     latest listing is too old
      * @param maxPeerAge the maximum age of a listing that another VM has read
+     * @param revisionTimes receives when this VM read the store
      */
     public TargetListSystem(
             SharedStore store,
@@ -77,7 +80,8 @@
             MonotonicClock clock,
             JitteredTimer pollInterval,
             BooleanSupplier mayFollowPeer,
-            Duration maxPeerAge) {
+            Duration maxPeerAge,
+            RevisionTimes revisionTimes) {
         this.store = store;
         this.directory = directory;
         this.entryLifetime = entryLifetime;
@@ -86,6 +90,7 @@
         this.pollInterval = pollInterval;
         this.mayFollowPeer = mayFollowPeer;
         this.maxPeerAge = maxPeerAge;
+        this.revisionTimes = revisionTimes;
     }
 
     @Override
@@ -97,8 +102,9 @@
         long sentNanos = clock.nanos();
         control.onCompletion(
                 store.readTargets(),
-                entries -> {
+                targets -> {
                     readPending = false;
+                    revisionTimes.record(targets.revision(), sentNanos);
                     if (storeFailed) {
                         storeFailed = false;
                         log.info(
@@ -109,7 +115,7 @@
                         return;
                     }
                     learned = null;
-                    update(entries, sentNanos, availableSince(sentNanos));
+                    update(targets.entries(), sentNanos, availableSince(sentNanos));
                     directory
                             .graceEnd()
                             .ifPresent(end ->
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutPlan.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutPlan.java
@@ -1,7 +1,7 @@
 package dev.bluebellshunt.relay.weights;
 
 import dev.bluebellshunt.relay.model.TargetEntry;
-import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.TargetSnapshot;
 import java.util.ArrayList;
@@ -38,7 +38,7 @@
         }
     }
 
-    static RolloutPlan of(TargetSnapshot targets, Map<String, OperatorStateSystem.DesiredWeights> desiredWeights) {
+    static RolloutPlan of(TargetSnapshot targets, Map<String, DesiredWeights> desiredWeights) {
         List<Step> steps = new ArrayList<>();
         if (!desiredWeights.isEmpty()) {
             targets.byPool().values().forEach(pool -> addSteps(pool, desiredWeights, steps));
@@ -56,15 +56,14 @@
         return new RolloutPlan(steps, loading);
     }
 
-    private static void addSteps(
-            List<LiveTarget> pool, Map<String, OperatorStateSystem.DesiredWeights> desiredWeights, List<Step> steps) {
+    private static void addSteps(List<LiveTarget> pool, Map<String, DesiredWeights> desiredWeights, List<Step> steps) {
         int maxParallelLoads = Math.max(MIN_PARALLEL_LOADS, (int) (pool.size() * MAX_LOADING_FRACTION));
         for (LiveTarget target : pool) {
             if (target.isLeaving()) {
                 continue;
             }
             for (String model : target.entry().weights().keySet()) {
-                OperatorStateSystem.DesiredWeights desired = desiredWeights.get(model);
+                DesiredWeights desired = desiredWeights.get(model);
                 if (desired != null && target.weightsVersion(model) < desired.version()) {
                     steps.add(new Step(target, model, desired.version(), maxParallelLoads));
                 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/cache/PromptCacheStoreIndexTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/cache/PromptCacheStoreIndexTests.java
@@ -8,6 +8,7 @@
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.testing.Configurations;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
@@ -120,7 +121,8 @@
     void systemPollsConfiguredStoreAndReadsAllChangesAfterOutage() {
         ManualControlExecutor control = new ManualControlExecutor();
         FakeSharedStore shared = new FakeSharedStore(clock);
-        OperatorStateSystem operators = new OperatorStateSystem(shared, control, clock, () -> false);
+        OperatorStateSystem operators =
+                new OperatorStateSystem(shared, control, clock, () -> false, new RevisionTimes());
         List<Long> requestedSince = new ArrayList<>();
         List<CompletableFuture<PromptCacheStoreClient.ChangeBatch>> responses = new ArrayList<>();
         PromptCacheStoreSystem system = new PromptCacheStoreSystem(
--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
 import java.util.Map;
@@ -48,7 +49,7 @@
         PeerReportTable peers = new PeerReportTable(clock, Duration.ofSeconds(8));
         FleetSystem system = new FleetSystem(
                 store,
-                new OperatorStateSystem(store, control, clock, () -> false),
+                new OperatorStateSystem(store, control, clock, () -> false, new RevisionTimes()),
                 new FleetLimits(
                         clock,
                         new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 50),
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -9,9 +9,10 @@
 import dev.bluebellshunt.relay.fleet.CurrentTopology;
 import dev.bluebellshunt.relay.fleet.FleetSystem;
 import dev.bluebellshunt.relay.limit.FleetLimits;
-import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.RegisteredTargets;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
@@ -72,7 +73,9 @@
         final ManualControlExecutor control = new ManualControlExecutor();
         final RefusingStore storeClient = new RefusingStore();
         final CurrentTopology topology = new CurrentTopology();
-        final OperatorStateSystem operators = new OperatorStateSystem(storeClient, control, clock, topology::isMember);
+        final RevisionTimes revisionTimes = new RevisionTimes();
+        final OperatorStateSystem operators =
+                new OperatorStateSystem(storeClient, control, clock, topology::isMember, revisionTimes);
         final TargetDirectory directory = new TargetDirectory(clock, target -> {});
         final CrashSuspects crashSuspects = new CrashSuspects(clock, new Random(1));
         final PeerReportTable peerReports = new PeerReportTable(clock, WINDOW);
@@ -100,7 +103,8 @@
                     clock,
                     timer(Duration.ofMillis(1_200)),
                     topology::isMember,
-                    Duration.ofMillis(2_250));
+                    Duration.ofMillis(2_250),
+                    revisionTimes);
             receiver = new ReportReceiver(
                     name + "/" + processes++,
                     clock,
@@ -277,7 +281,7 @@
         }
 
         @Override
-        public CompletableFuture<List<TargetEntry>> readTargets() {
+        public CompletableFuture<RegisteredTargets> readTargets() {
             return call(store::readTargets);
         }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -16,6 +16,7 @@
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
@@ -70,7 +71,8 @@
     final ManualClock clock = new ManualClock();
     final ManualControlExecutor control = new ManualControlExecutor();
     final FakeSharedStore store = new FakeSharedStore(clock);
-    final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, () -> false);
+    final OperatorStateSystem operators =
+            new OperatorStateSystem(store, control, clock, () -> false, new RevisionTimes());
     final CrashSuspects crashSuspects = new CrashSuspects(clock, new Random(1));
     final RelayMetrics metrics = new RelayMetrics();
     final TargetDirectory directory =
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/MinimumWeightsVersionTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/MinimumWeightsVersionTests.java
@@ -3,7 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 
-import dev.bluebellshunt.relay.store.OperatorStateSystem.DesiredWeights;
+import dev.bluebellshunt.relay.store.DesiredWeights;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/ReplacedWeightsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/ReplacedWeightsTests.java
@@ -4,10 +4,8 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 
-import dev.bluebellshunt.relay.store.OperatorState;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,7 +21,7 @@
     }
 
     private void publish(long version) {
-        store.publish(new OperatorState(0, null, Map.of("m", version)));
+        store.publishWeights("m", version);
         control.runAll();
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
@@ -13,6 +13,7 @@
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 /** Tracking of the operators' state through outages, lost history and outdated responses of the store. */
@@ -21,7 +22,9 @@
     private final ManualClock clock = new ManualClock();
     private final ManualControlExecutor control = new ManualControlExecutor();
     private final FakeSharedStore store = new FakeSharedStore(clock);
-    private final OperatorStateSystem system = new OperatorStateSystem(store, control, clock, () -> false);
+    private final RevisionTimes revisionTimes = new RevisionTimes();
+    private final OperatorStateSystem system =
+            new OperatorStateSystem(store, control, clock, () -> false, revisionTimes);
 
     private void runTick() {
         system.tick();
@@ -115,42 +118,122 @@
     @Test
     void olderWeightsDoNotReplaceNewerOnesOrTheirTime() {
         runTick();
-        store.publish(new OperatorState(0, null, Map.of("m", 3L)));
+        store.publishWeights("m", 3);
         control.runAll();
-        OperatorStateSystem.DesiredWeights expected = system.weights().get("m");
+        DesiredWeights expected = system.weights().get("m");
         clock.advance(Duration.ofSeconds(1));
-        store.publish(new OperatorState(0, null, Map.of("m", 2L)));
+        store.publishWeights("m", 2);
         control.runAll();
         assertThat(system.weights().get("m"), equalTo(expected));
-        assertThat(system.weights().get("m"), equalTo(new OperatorStateSystem.DesiredWeights(3, 0, null)));
+        assertThat(system.weights().get("m"), equalTo(new DesiredWeights(3, 0, null)));
     }
 
     @Test
     void weightsFoundAtStartupHaveInitialVersionAge() {
-        store.publish(new OperatorState(0, null, Map.of("m", 3L)));
+        store.publishWeights("m", 3);
         runTick();
         assertThat(
                 system.weights().get("m"),
-                equalTo(new OperatorStateSystem.DesiredWeights(
-                        3, -OperatorStateSystem.INITIAL_VERSION_AGE.toNanos(), null)));
+                equalTo(new DesiredWeights(3, -OperatorStateSystem.INITIAL_VERSION_AGE.toNanos(), null)));
+    }
+
+    private void readTargets() {
+        long sentNanos = clock.nanos();
+        revisionTimes.record(store.readTargets().join().revision(), sentNanos);
     }
 
     @Test
     void eachDesiredVersionKeepsItsOwnTime() {
         runTick();
         for (long version = 2; version <= 4; version++) {
-            store.publish(new OperatorState(0, null, Map.of("m", version)));
+            readTargets();
+            store.publishWeights("m", version);
             control.runAll();
             clock.advance(Duration.ofSeconds(3));
         }
-        OperatorStateSystem.DesiredWeights desired = system.weights().get("m");
+        DesiredWeights desired = system.weights().get("m");
         assertThat(desired == null ? -1 : desired.asOf(Duration.ofMillis(2_500).toNanos()), equalTo(2L));
         assertThat(desired == null ? -1 : desired.asOf(Duration.ofSeconds(6).toNanos()), equalTo(4L));
         assertThat(desired == null ? 0 : desired.asOf(-1), equalTo(0L));
     }
 
+    private long versionAsOf(Duration time) {
+        DesiredWeights desired = system.weights().get("m");
+        return desired == null ? 0 : desired.asOf(time.toNanos());
+    }
+
+    /** Publishes versions 2 at 1 s, 3 at 9 s and 4 at 11 s; the VM does not call the store from 8 to 12 s. */
+    private void publishWhileVmStandsStill() {
+        runTick();
+        clock.advance(Duration.ofSeconds(1));
+        store.publishWeights("m", 2);
+        control.runAll();
+        clock.advance(Duration.ofSeconds(6));
+        store.completeWatches();
+        control.runAll();
+        clock.advance(Duration.ofSeconds(1));
+        store.completeWatches();
+        control.runAll();
+        readTargets();
+        store.discardHistory();
+        control.runAll();
+        clock.advance(Duration.ofSeconds(1));
+        store.publishWeights("m", 3);
+        clock.advance(Duration.ofSeconds(2));
+        store.publishWeights("m", 4);
+        clock.advance(Duration.ofSeconds(1));
+    }
+
+    /** Guards against counting the age of weights from the end of a pause instead of from their publication. */
+    @Test
+    void weightsPublishedDuringPauseAreDatedBeforeIt() {
+        publishWhileVmStandsStill();
+        runTick();
+        assertThat("published at 9 s", versionAsOf(Duration.ofSeconds(9)), greaterThanOrEqualTo(3L));
+        assertThat("the VM read the store at 7 s", versionAsOf(Duration.ofMillis(6_900)), equalTo(2L));
+        assertThat("other VMs may know better", system.isPublicationUncertain());
+    }
+
+    /** Guards against a late bound for a version that was superseded before the VM read the store again. */
+    @Test
+    void readAfterTheFirstOfTwoMissedVersionsDoesNotDateTheSecondOne() {
+        publishWhileVmStandsStill();
+        store.publishWeights("m", 5);
+        readTargets();
+        store.publishWeights("m", 6);
+        runTick();
+        assertThat("published at 9 s", versionAsOf(Duration.ofSeconds(9)), greaterThanOrEqualTo(3L));
+        assertThat("published at 11 s", versionAsOf(Duration.ofSeconds(11)), greaterThanOrEqualTo(4L));
+    }
+
+    /** Guards against rejecting requests for new weights too early because a pause hides when they were published. */
+    @Test
+    void otherVmTellsWhenWeightsWerePublishedDuringPause() {
+        publishWhileVmStandsStill();
+        runTick();
+        DesiredWeights second = new DesiredWeights(2, Duration.ofMillis(500).toNanos(), null);
+        DesiredWeights third = new DesiredWeights(3, Duration.ofMillis(8_800).toNanos(), second);
+        DesiredWeights fourth = new DesiredWeights(4, Duration.ofMillis(10_900).toNanos(), third);
+        system.learn(
+                state(9, null, Map.of("m", fourth), Duration.ofMillis(11_500).toNanos()));
+        assertThat(versionAsOf(Duration.ofMillis(8_700)), equalTo(2L));
+        assertThat(versionAsOf(Duration.ofMillis(8_900)), equalTo(3L));
+        assertThat(versionAsOf(Duration.ofMillis(10_800)), equalTo(3L));
+        assertThat(versionAsOf(Duration.ofMillis(10_900)), equalTo(4L));
+        clock.advance(OperatorStateSystem.PUBLICATION_QUERY_TIME);
+        assertThat("asks no longer", !system.isPublicationUncertain());
+    }
+
+    private static OperatorStateSystem.Snapshot state(
+            long revision,
+            @Nullable RelayConfiguration configuration,
+            Map<String, DesiredWeights> weights,
+            long asOfNanos) {
+        return new OperatorStateSystem.Snapshot(revision, configuration, weights, asOfNanos);
+    }
+
     private OperatorStateSystem member() {
-        return new OperatorStateSystem(store, control, clock, () -> true);
+        return new OperatorStateSystem(store, control, clock, () -> true, new RevisionTimes());
     }
 
     /** Guards against the calls of every VM that a watch by few VMs is to replace. */
@@ -163,9 +246,8 @@
         int calls = store.callCount();
         for (int i = 0; i < 40; i++) {
             clock.advance(Duration.ofMillis(250));
-            member.learn(
-                    new OperatorState(2, null, Map.of()),
-                    clock.nanos() - Duration.ofSeconds(1).toNanos());
+            member.learn(state(
+                    2, null, Map.of(), clock.nanos() - Duration.ofSeconds(1).toNanos()));
             member.tick();
             control.runAll();
         }
@@ -180,11 +262,14 @@
         OperatorStateSystem member = member();
         clock.advance(Duration.ofSeconds(10));
         long asOfNanos = clock.nanos() - Duration.ofSeconds(2).toNanos();
-        member.learn(new OperatorState(5, Configurations.withVersion(4), Map.of("m", 2L)), asOfNanos);
+        DesiredWeights second = new DesiredWeights(2, asOfNanos - 7, null);
+        member.learn(state(5, Configurations.withVersion(4), Map.of("m", second), asOfNanos));
         assertThat(member.age(), equalTo(Duration.ofSeconds(2)));
-        member.learn(new OperatorState(4, Configurations.withVersion(3), Map.of("m", 1L)), asOfNanos - 1);
+        DesiredWeights first = new DesiredWeights(1, asOfNanos - 9, null);
+        member.learn(state(4, Configurations.withVersion(3), Map.of("m", first), asOfNanos - 1));
         assertThat(member.age(), equalTo(Duration.ofSeconds(2)));
         assertThat(member.configuration().orElseThrow().version(), equalTo(4L));
-        assertThat(member.snapshot().orElseThrow().state().weights(), equalTo(Map.of("m", 2L)));
+        DesiredWeights known = member.snapshot().orElseThrow().weights().get("m");
+        assertThat(known == null ? 0 : known.version(), equalTo(2L));
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
@@ -8,6 +8,7 @@
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
 import java.util.List;
@@ -35,7 +36,8 @@
             clock,
             new JitteredTimer(clock, new Random(1), Duration.ofMillis(1_200)),
             () -> followsHub,
-            Duration.ofSeconds(2));
+            Duration.ofSeconds(2),
+            new RevisionTimes());
 
     /** Adopts a listing that is read now, by a process to which the store has been available for some time. */
     private void learn(String process, long number, List<TargetEntry> entries, Duration available) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -1,10 +1,13 @@
 package dev.bluebellshunt.relay.testing;
 
 import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.HistoryLostException;
 import dev.bluebellshunt.relay.store.LeaseExpiredException;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.PublishedWeights;
+import dev.bluebellshunt.relay.store.RegisteredTargets;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
 import java.time.Duration;
@@ -16,6 +19,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * In-memory store shared by the VMs of a test, which can simulate outages, lost responses and lost history.
@@ -43,7 +47,9 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private final Map<String, Integer> recordReads = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
-    private OperatorState operators = new OperatorState(1, null, Map.of());
+    private final Map<String, List<PublishedWeights>> weights = new HashMap<>();
+    private @Nullable RelayConfiguration configuration;
+    private long configurationRevision;
     private List<TargetEntry> targets = List.of();
     private long revision = 1;
     private long nextLease = 100;
@@ -80,14 +86,38 @@
     /** Publishes a change and completes the pending watches with it. */
     public synchronized void publish(OperatorState change) {
         revision++;
-        Map<String, Long> weights = new HashMap<>(operators.weights());
-        weights.putAll(change.weights());
-        operators = new OperatorState(
-                revision, change.configuration() == null ? operators.configuration() : change.configuration(), weights);
-        OperatorState published = new OperatorState(revision, change.configuration(), change.weights());
+        if (change.configuration() != null) {
+            configuration = change.configuration();
+            configurationRevision = revision;
+        }
+        change.weights()
+                .forEach((model, versions) ->
+                        weights.computeIfAbsent(model, m -> new ArrayList<>()).addAll(versions));
         List<Watch> pending = List.copyOf(watches);
         watches.clear();
-        pending.forEach(watch -> watch.response().complete(published));
+        pending.forEach(watch -> watch.response().complete(changesSince(watch.afterRevision())));
+    }
+
+    /** Publishes a version of a model's weights, and completes the pending watches with it. */
+    public synchronized void publishWeights(String model, long version) {
+        publish(new OperatorState(0, null, Map.of(model, List.of(new PublishedWeights(version, revision + 1)))));
+    }
+
+    private OperatorState changesSince(long afterRevision) {
+        Map<String, List<PublishedWeights>> changes = new HashMap<>();
+        weights.forEach((model, versions) -> {
+            List<PublishedWeights> newer = versions.stream()
+                    .filter(version -> version.revision() > afterRevision)
+                    .toList();
+            if (!newer.isEmpty()) {
+                changes.put(model, newer);
+            }
+        });
+        return new OperatorState(revision, configurationRevision > afterRevision ? configuration : null, changes);
+    }
+
+    private static boolean isEmpty(OperatorState change) {
+        return change.configuration() == null && change.weights().isEmpty();
     }
 
     /** Completes all pending watches without a change. */
@@ -101,7 +131,9 @@
     public CompletableFuture<OperatorState> readOperatorState() {
         return read(() -> {
             historyDiscarded = false;
-            return new OperatorState(revision, operators.configuration(), operators.weights());
+            Map<String, List<PublishedWeights>> latest = new HashMap<>();
+            weights.forEach((model, versions) -> latest.put(model, List.of(versions.getLast())));
+            return new OperatorState(revision, configuration, latest);
         });
     }
 
@@ -117,8 +149,8 @@
         }
         if (historyDiscarded) {
             response.completeExceptionally(new HistoryLostException(afterRevision));
-        } else if (operators.revision() > afterRevision) {
-            response.complete(operators);
+        } else if (!isEmpty(changesSince(afterRevision))) {
+            response.complete(changesSince(afterRevision));
         } else {
             watches.add(new Watch(afterRevision, response));
         }
@@ -126,8 +158,8 @@
     }
 
     @Override
-    public CompletableFuture<List<TargetEntry>> readTargets() {
-        return read(() -> targets);
+    public CompletableFuture<RegisteredTargets> readTargets() {
+        return read(() -> new RegisteredTargets(revision, targets));
     }
 
     /** Returns the number of reads of all records with a prefix. */
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -18,8 +18,8 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.peer.PeerReport;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
-import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.target.InFlightLoad;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.LoadedWeights;
@@ -92,7 +92,8 @@
     /** A VM with its rollout and its connection to the engines, which can delay orders and lose their responses. */
     private final class Vm implements EngineControl {
         private final String name;
-        private final OperatorStateSystem operators = new OperatorStateSystem(store, control, clock, () -> false);
+        private final OperatorStateSystem operators =
+                new OperatorStateSystem(store, control, clock, () -> false, new RevisionTimes());
         private final TargetDirectory directory = new TargetDirectory(clock, target -> {});
         private final PeerReportTable peers = new PeerReportTable(clock, Duration.ofSeconds(8));
         private final RolloutSystem rollout;
@@ -217,7 +218,7 @@
     }
 
     private void publishVersion(long version) {
-        store.publish(new OperatorState(0, null, Map.of("m", version)));
+        store.publishWeights("m", version);
         control.runAll();
     }
 
