Leave the ordering record alone once the holder record has expired

What callers saw: after the VM that leads the rollout had stood still for 4 s, no VM ordered engines to load new weights for 4.7 s more.

Cause: a holder that resumes renewed its ordering record in the same tick as its holder record. The latter had expired, which the holder learned with the response; the former had not, and blocked every successor for another 4.8 s, although no order was sent under it any more. The same happened after an outage of the store, if the renewal of the ordering record was due before that of the holder record.

The holder record has a deadline by the clock of the VM, counted from before its renewal was sent. From that deadline on, the VM now neither renews or writes the ordering record nor sends orders, until the store has confirmed the holder record. After a response to an acquisition that was handled late, the holder record is renewed at once. The successor waits for what is left of the ordering record, which still covers the last possible order and the minimum interval after it.

--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
@@ -20,7 +20,11 @@
  * orders, on condition that the writer is still the holder, and no order is sent once {@link #ORDER_WINDOW} has
  * passed since the last successful renewal was sent. Its time to live exceeds that window by the minimum interval
  * between the orders of two holders plus {@link #ORDER_DELIVERY_MARGIN}, and no VM can become the holder while the
- * record exists. The successor of an idle holder can therefore start immediately. Confined to the control thread.
+ * record exists. The successor of an idle holder can therefore start immediately.
+ *
+ * <p>Once the holder record has expired by the clock of this VM, no order is sent and the ordering record is not
+ * renewed until the store has confirmed the holder record: it may have been lost, and the ordering record of a VM that
+ * is no longer the holder would only delay the next one. Confined to the control thread.
  */
 final class RolloutLease {
 
@@ -85,7 +89,7 @@
 
     /** Returns whether this VM may send an order now. */
     boolean maySendOrders() {
-        return isHeld() && !orderDeadline.hasPassed(clock);
+        return isUnexpired() && !orderDeadline.hasPassed(clock);
     }
 
     /** Returns the fencing token, which increases with each holder. */
@@ -109,7 +113,7 @@
                         holderLease = written.lease();
                         fencingToken = written.revision().getAsLong();
                         holderExpiry = new Deadline(sentNanos + HOLDER_TTL.toNanos());
-                        nextHolderRenewal = Deadline.after(clock, RENEWAL_INTERVAL);
+                        nextHolderRenewal = new Deadline(sentNanos + RENEWAL_INTERVAL.toNanos());
                         log.info("Acquired the rollout lease with fencing token {}.", fencingToken);
                     }
                 },
@@ -142,9 +146,12 @@
                 });
     }
 
-    /** Writes the ordering record, or renews it if that is due; orders may be sent once the store has confirmed it. */
+    /**
+     * Writes the ordering record, or renews it if that is due, unless the holder record has expired by the clock of
+     * this VM. Orders may be sent once the store has confirmed the ordering record.
+     */
     void renewOrderingIfDue() {
-        if (orderingCallPending || !isHeld() || !nextOrderingRenewal.hasPassed(clock)) {
+        if (orderingCallPending || !isUnexpired() || !nextOrderingRenewal.hasPassed(clock)) {
             return;
         }
         orderingCallPending = true;
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -30,6 +30,8 @@
         UNAVAILABLE,
         /** Writes take effect, but their calls fail. */
         WRITE_RESPONSES_LOST,
+        /** Write calls fail, and take effect when {@link #executeLateWrites()} is called. */
+        WRITES_LATE,
         /** Calls never complete and have no effect. */
         UNRESPONSIVE
     }
@@ -43,6 +45,7 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private final Map<String, Integer> recordReads = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    private final List<Runnable> lateWrites = new ArrayList<>();
     private OperatorState operators = new OperatorState(1, null, Map.of());
     private List<TargetEntry> targets = List.of();
     private long revision = 1;
@@ -69,6 +72,13 @@
                 watch -> watch.response().completeExceptionally(new HistoryLostException(watch.afterRevision())));
     }
 
+    /** Executes the writes whose calls have failed in mode {@link Mode#WRITES_LATE}, as far as they still apply. */
+    public synchronized void executeLateWrites() {
+        expireLeases();
+        lateWrites.forEach(Runnable::run);
+        lateWrites.clear();
+    }
+
     public synchronized int callCount() {
         return callCount;
     }
@@ -225,15 +235,23 @@
         if (mode == Mode.UNAVAILABLE) {
             return CompletableFuture.failedFuture(new IllegalStateException("the store is unavailable"));
         }
+        if (mode == Mode.WRITES_LATE && writes) {
+            lateWrites.add(() -> execute(operation, new CompletableFuture<>()));
+            return CompletableFuture.failedFuture(new IllegalStateException("there is no response"));
+        }
         CompletableFuture<T> response = new CompletableFuture<>();
+        execute(operation, response);
+        return mode == Mode.WRITE_RESPONSES_LOST && writes
+                ? CompletableFuture.failedFuture(new IllegalStateException("the response is lost"))
+                : response;
+    }
+
+    private static <T> void execute(Supplier<T> operation, CompletableFuture<T> response) {
         try {
             response.complete(operation.get());
         } catch (RuntimeException e) {
             response.completeExceptionally(e);
         }
-        return mode == Mode.WRITE_RESPONSES_LOST && writes
-                ? CompletableFuture.failedFuture(new IllegalStateException("the response is lost"))
-                : response;
     }
 
     private void expireLeases() {
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -427,6 +427,30 @@
         assertThat(sentOrders.stream().map(SentOrder::vm).distinct().count(), equalTo(2L));
     }
 
+    /** Guards against a gap without orders after a holder has resumed whose lease expired while it was paused. */
+    @Test
+    void holderThatResumesWithoutLeaseDoesNotDelayItsSuccessor() {
+        startFleet(3, 13);
+        publishVersion(2);
+        run(Duration.ofMillis(600));
+        Vm first = holder();
+        Duration orderingTtl =
+                RolloutLease.ORDER_WINDOW.plus(MIN_HANDOVER_INTERVAL).plus(RolloutLease.ORDER_DELIVERY_MARGIN);
+        long pauseNanos = clock.nanos();
+        int before = sentOrders.size();
+        first.paused = true;
+        run(Duration.ofSeconds(4));
+        first.paused = false;
+        run(Duration.ofSeconds(10));
+        assertThat(versions(), contains(2L));
+        assertFencedHandovers();
+        Duration gap = Duration.ofNanos(sentOrders.get(before).atNanos() - pauseNanos);
+        assertThat(
+                gap,
+                lessThanOrEqualTo(
+                        orderingTtl.plus(RolloutSystem.ACQUIRE_INTERVAL).plus(TICK.multipliedBy(6))));
+    }
+
     @Test
     void holderWithoutStoreStopsBeforeSuccessorStarts() {
         startFleet(1, 13);
