Write the ordering record of a holder under a single lease

What callers saw: nothing yet; a test of the lease shows it. After a lost response to the first write of the ordering record, a later holder could send orders 2.15 s after the last order of its predecessor, where the minimum interval is 3 s.

Cause: each attempt to write the ordering record was granted a lease of its own. If the store executed the first attempt late, after the second one had succeeded, the record was attached to the first lease again, which nobody renewed. It vanished while the holder renewed the second lease and sent orders, so that no successor had to wait.

All attempts of a holder now use one lease, which is renewed before each of them. A late attempt changes nothing, or fails if the lease has expired.

RolloutLeaseTests.orderingRecordOutlastsLateExecutionOfItsFirstWrite failed before with 2.15 s and passes now, as do the other tests of the package.

--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
@@ -52,6 +52,7 @@
     private final Duration orderingTtl;
     private long holderLease = SharedStore.NO_LEASE;
     private long orderingLease = SharedStore.NO_LEASE;
+    private long writtenOrderingLease = SharedStore.NO_LEASE;
     private long fencingToken;
     private boolean holderCallPending;
     private boolean orderingCallPending;
@@ -105,8 +106,7 @@
         holderCallPending = true;
         long sentNanos = clock.nanos();
         control.onCompletion(
-                writeUnderNewLease(
-                        HOLDER_KEY, HOLDER_TTL, Map.of(HOLDER_KEY, ABSENT_REVISION, ORDERING_KEY, ABSENT_REVISION)),
+                writeHolderRecord(),
                 written -> {
                     holderCallPending = false;
                     if (written.revision().isPresent()) {
@@ -157,21 +157,39 @@
         orderingCallPending = true;
         long sentNanos = clock.nanos();
         nextOrderingRenewal = Deadline.after(clock, RENEWAL_INTERVAL);
-        if (orderingLease != SharedStore.NO_LEASE) {
-            control.onCompletion(
-                    store.renewLease(orderingLease), renewed -> onOrderingWritten(sentNanos), this::onOrderingFailed);
+        long lease = orderingLease;
+        control.onCompletion(
+                lease == SharedStore.NO_LEASE
+                        ? store.grantLease(orderingTtl)
+                        : store.renewLease(lease).thenApply(renewed -> lease),
+                renewed -> onOrderingLeaseRenewed(renewed, sentNanos),
+                this::onOrderingFailed);
+    }
+
+    /**
+     * Writes the ordering record unless the store has confirmed it. All attempts use the same lease: an attempt under
+     * another one that is executed late would make the record expire while this VM renews the other lease.
+     */
+    private void onOrderingLeaseRenewed(long lease, long sentNanos) {
+        if (!isHeld()) {
+            orderingCallPending = false;
+            return;
+        }
+        orderingLease = lease;
+        if (lease == writtenOrderingLease) {
+            onOrderingWritten(sentNanos);
             return;
         }
         control.onCompletion(
-                writeUnderNewLease(ORDERING_KEY, orderingTtl, Map.of(HOLDER_KEY, fencingToken)),
-                written -> {
-                    if (written.revision().isEmpty()) {
+                store.putRecordIf(ORDERING_KEY, vm, lease, Map.of(HOLDER_KEY, fencingToken)),
+                revision -> {
+                    if (revision.isEmpty()) {
                         orderingCallPending = false;
                         log.info("Lost the rollout lease: another VM has become the holder.");
                         relinquish();
                         return;
                     }
-                    orderingLease = written.lease();
+                    writtenOrderingLease = lease;
                     onOrderingWritten(sentNanos);
                 },
                 this::onOrderingFailed);
@@ -191,9 +209,10 @@
         log.debug("Failed to write or renew the ordering record: {}", failure.toString());
     }
 
-    private CompletableFuture<LeasedWrite> writeUnderNewLease(String key, Duration ttl, Map<String, Long> expected) {
-        return store.grantLease(ttl)
-                .thenCompose(lease -> store.putRecordIf(key, vm, lease, expected)
+    private CompletableFuture<LeasedWrite> writeHolderRecord() {
+        Map<String, Long> noHolder = Map.of(HOLDER_KEY, ABSENT_REVISION, ORDERING_KEY, ABSENT_REVISION);
+        return store.grantLease(HOLDER_TTL)
+                .thenCompose(lease -> store.putRecordIf(HOLDER_KEY, vm, lease, noHolder)
                         .thenCompose(revision -> revision.isPresent()
                                 ? CompletableFuture.completedFuture(new LeasedWrite(lease, revision))
                                 : store.revokeLease(lease).thenApply(revoked -> new LeasedWrite(lease, revision))));
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -32,10 +32,18 @@
         WRITE_RESPONSES_LOST,
         /** Write calls fail, and take effect when {@link #executeLateWrites()} is called. */
         WRITES_LATE,
+        /** Writes of records fail and take effect in the same way, but calls that concern leases succeed. */
+        RECORD_WRITES_LATE,
         /** Calls never complete and have no effect. */
         UNRESPONSIVE
     }
 
+    private enum CallType {
+        READ,
+        RECORD_WRITE,
+        LEASE_CHANGE
+    }
+
     private record Lease(Duration duration, long expiryNanos) {}
 
     private record StoredRecord(String value, long revision, long lease) {}
@@ -159,7 +167,7 @@
 
     @Override
     public CompletableFuture<Void> putRecord(String key, String value, long lease) {
-        return write(() -> {
+        return writeRecord(() -> {
             requireLease(lease);
             records.put(key, new StoredRecord(value, ++revision, lease));
             return null;
@@ -169,7 +177,7 @@
     @Override
     public CompletableFuture<OptionalLong> putRecordIf(
             String key, String value, long lease, Map<String, Long> expected) {
-        return write(() -> {
+        return writeRecord(() -> {
             requireLease(lease);
             for (Map.Entry<String, Long> other : expected.entrySet()) {
                 StoredRecord stored = records.get(other.getKey());
@@ -184,7 +192,7 @@
 
     @Override
     public CompletableFuture<Long> grantLease(Duration duration) {
-        return write(() -> {
+        return changeLease(() -> {
             long lease = ++nextLease;
             leases.put(lease, new Lease(duration, clock.nanos() + duration.toNanos()));
             return lease;
@@ -193,7 +201,7 @@
 
     @Override
     public CompletableFuture<Void> renewLease(long lease) {
-        return write(() -> {
+        return changeLease(() -> {
             requireLease(lease);
             leases.computeIfPresent(
                     lease,
@@ -206,7 +214,7 @@
 
     @Override
     public CompletableFuture<Void> revokeLease(long lease) {
-        return write(() -> {
+        return changeLease(() -> {
             leases.remove(lease);
             return null;
         });
@@ -219,14 +227,26 @@
     }
 
     private <T> CompletableFuture<T> read(Supplier<T> operation) {
-        return call(operation, false);
+        return call(operation, CallType.READ);
+    }
+
+    private <T> CompletableFuture<T> writeRecord(Supplier<T> operation) {
+        return call(operation, CallType.RECORD_WRITE);
+    }
+
+    private <T> CompletableFuture<T> changeLease(Supplier<T> operation) {
+        return call(operation, CallType.LEASE_CHANGE);
     }
 
-    private <T> CompletableFuture<T> write(Supplier<T> operation) {
-        return call(operation, true);
+    private boolean isLate(CallType type) {
+        return switch (mode) {
+            case WRITES_LATE -> type != CallType.READ;
+            case RECORD_WRITES_LATE -> type == CallType.RECORD_WRITE;
+            case AVAILABLE, UNAVAILABLE, WRITE_RESPONSES_LOST, UNRESPONSIVE -> false;
+        };
     }
 
-    private synchronized <T> CompletableFuture<T> call(Supplier<T> operation, boolean writes) {
+    private synchronized <T> CompletableFuture<T> call(Supplier<T> operation, CallType type) {
         callCount++;
         expireLeases();
         if (mode == Mode.UNRESPONSIVE) {
@@ -235,13 +255,13 @@
         if (mode == Mode.UNAVAILABLE) {
             return CompletableFuture.failedFuture(new IllegalStateException("the store is unavailable"));
         }
-        if (mode == Mode.WRITES_LATE && writes) {
+        if (isLate(type)) {
             lateWrites.add(() -> execute(operation, new CompletableFuture<>()));
             return CompletableFuture.failedFuture(new IllegalStateException("there is no response"));
         }
         CompletableFuture<T> response = new CompletableFuture<>();
         execute(operation, response);
-        return mode == Mode.WRITE_RESPONSES_LOST && writes
+        return mode == Mode.WRITE_RESPONSES_LOST && type != CallType.READ
                 ? CompletableFuture.failedFuture(new IllegalStateException("the response is lost"))
                 : response;
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutLeaseTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutLeaseTests.java
@@ -215,4 +215,40 @@
         awaitSuccessor(ORDERING_TTL.multipliedBy(3));
         assertStartedWithin(ORDERING_TTL, relinquishNanos);
     }
+
+    /** Guards against a successor that starts at once, because a late write has moved the record to a lease that ends. */
+    @Test
+    void orderingRecordOutlastsLateExecutionOfItsFirstWrite() {
+        holder.lease.tryAcquire();
+        holder.control.runAll();
+        store.setMode(FakeSharedStore.Mode.RECORD_WRITES_LATE);
+        holder.tick();
+        holder.control.runAll();
+        store.setMode(FakeSharedStore.Mode.AVAILABLE);
+        run(Duration.ofSeconds(1), holder);
+        assertThat(holder.lease.maySendOrders(), is(true));
+        store.executeLateWrites();
+        run(ORDERING_TTL, holder);
+        assertThat(holder.lease.maySendOrders(), is(true));
+        long pauseNanos = clock.nanos();
+        clock.advance(RolloutLease.HOLDER_TTL);
+        awaitSuccessor(ORDERING_TTL.multipliedBy(3));
+        assertStartedWithin(ORDERING_TTL, pauseNanos);
+    }
+
+    /** Guards against orders beyond the time to live of an ordering record that was written under an older lease. */
+    @Test
+    void ordersAfterFailedWriteOfOrderingRecordAreCoveredByIt() {
+        holder.lease.tryAcquire();
+        holder.control.runAll();
+        store.setMode(FakeSharedStore.Mode.RECORD_WRITES_LATE);
+        run(RolloutLease.ORDER_WINDOW, holder);
+        assertThat(holder.lease.maySendOrders(), is(false));
+        store.setMode(FakeSharedStore.Mode.AVAILABLE);
+        run(RolloutLease.RENEWAL_INTERVAL, holder);
+        assertThat(holder.lease.maySendOrders(), is(true));
+        run(TICK, holder);
+        clock.advance(RolloutLease.HOLDER_TTL);
+        awaitSuccessor(ORDERING_TTL.multipliedBy(3));
+    }
 }
