Restore a VM record that has vanished while its VM renews it

What callers saw: nothing yet; a test of the fleet shows it. A running VM can lose its record for good: the others no longer report to it nor reserve its share of the limits, and it never becomes a hub.

Cause: after a write without a response, the VM writes its record again under a new lease. If the store executes the first write after that, the record is attached to the earlier lease and vanishes with it, while the VM renews the new lease and does not write the record again until its demand changes.

The VM reads all records at each exchange. If its own is missing although it has not just been written, it is now written again under a new lease.

FleetSystemTests.recordIsRestoredAfterLateExecutionOfAnEarlierWrite failed before (no record at the end) and passes now.

--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -203,7 +203,9 @@
 
     private void onExchanged(ExchangeResult result, VmRecord ownRecord) {
         callInFlight = false;
-        lease = result.lease();
+        boolean renewedOnly = result.lease() == lease && ownRecord.equals(publishedRecord);
+        // An earlier write that was executed late may have attached the record to a lease that has expired since.
+        lease = renewedOnly && !containsOwn(result.records()) ? SharedStore.NO_LEASE : result.lease();
         if (!ownRecord.equals(publishedRecord)) {
             nextDemand = Deadline.after(clock, DEMAND_INTERVAL_PER_VM.multipliedBy(registeredVms));
         }
@@ -227,6 +229,10 @@
         operators.configuration().ifPresent(configuration -> limits.updateShares(configuration, vm, demands));
     }
 
+    private boolean containsOwn(List<SharedRecord> records) {
+        return records.stream().anyMatch(sharedRecord -> sharedRecord.key().equals(KEY_PREFIX + vm));
+    }
+
     private void onFailure(Throwable failure) {
         callInFlight = false;
         lease = SharedStore.NO_LEASE;
