Test that a response from before a pause leads to no order

The state of an engine may be read before a VM pauses and handled afterwards. The test passes with the present check before each order. No other code.

--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -451,6 +451,21 @@
                         orderingTtl.plus(RolloutSystem.ACQUIRE_INTERVAL).plus(TICK.multipliedBy(6))));
     }
 
+    /** Guards against orders that follow a response from before a pause and are sent after it. */
+    @Test
+    void responseHandledAfterPauseLeadsToNoOrder() {
+        startFleet(2, 13);
+        publishVersion(2);
+        while (engines.values().stream().allMatch(engine -> engine.calls == 0)) {
+            control.runAll();
+            clock.advance(TICK);
+            vms.forEach(Vm::tick);
+        }
+        clock.advance(RolloutLease.HOLDER_TTL);
+        control.runAll();
+        assertThat(sentOrders, empty());
+    }
+
     @Test
     void holderWithoutStoreStopsBeforeSuccessorStarts() {
         startFleet(1, 13);
