Track completed weights of an engine by model

What callers saw: nothing yet; a test of the rollout shows it. An engine with two models kept the old weights of one of them, so that requests for it began on an old version.

Cause: the progress of an engine held one completed version for all of its models. Once version 5 of one model had been loaded, version 2 of another one counted as loaded, too. The progress was kept as long as the engine needed the other model, that is, for good under the same holder. The poll of the engine has to see the completion before the registered entry does, which is the usual order, because entries are updated at the heartbeat.

The completed version is now kept by model.

RolloutSystemTests.enginesWithTwoModelsGetTheNewWeightsOfBoth failed before: after 10 s the engines still had version 1 of the second model. It passes now, as do the other tests of the package.

--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -153,7 +153,7 @@
         for (RolloutPlan.Step pendingStep : steps) {
             Progress state =
                     progress.computeIfAbsent(pendingStep.target().entry().incarnation(), i -> new Progress(clock));
-            if (state.hasCompleted(pendingStep.desiredVersion())
+            if (state.hasCompleted(pendingStep)
                     || state.callPending
                     || !pendingStep.target().acceptsRequests()
                     || !state.nextCallTime.hasPassed(clock)) {
@@ -276,7 +276,7 @@
     }
 
     private void recordCompletion(RolloutPlan.Step step, Progress state, long version) {
-        state.complete(version);
+        state.complete(step.model(), version);
         announceLoaded(step, version);
     }
 
@@ -302,7 +302,7 @@
         private boolean callPending;
         private RolloutPlan.@Nullable Step step;
         private boolean loadStarted;
-        private long completedVersion;
+        private final Map<String, Long> completedVersions = new HashMap<>();
         private Deadline nextCallTime;
         private Deadline loadDeadline;
 
@@ -321,13 +321,13 @@
             return loadStarted && !loadDeadline.hasPassed(clock);
         }
 
-        private void complete(long version) {
+        private void complete(String model, long version) {
             loadStarted = false;
-            completedVersion = version;
+            completedVersions.put(model, version);
         }
 
-        private boolean hasCompleted(long version) {
-            return completedVersion >= version;
+        private boolean hasCompleted(RolloutPlan.Step next) {
+            return completedVersions.getOrDefault(next.model(), 0L) >= next.desiredVersion();
         }
 
         private void recordUnreachable(MonotonicClock clock) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TestTargets.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TestTargets.java
@@ -9,7 +9,12 @@
     private TestTargets() {}
 
     public static TargetEntry engine(String id, long weights) {
-        return new TargetEntry(id, 1, "engines", "10.0.0.1", port(id), "fd-1", 48, false, Map.of("m", weights));
+        return engine(id, Map.of("m", weights));
+    }
+
+    /** Returns an engine with the loaded version of its weights by model. */
+    public static TargetEntry engine(String id, Map<String, Long> weights) {
+        return new TargetEntry(id, 1, "engines", "10.0.0.1", port(id), "fd-1", 48, false, weights);
     }
 
     public static TargetEntry application(String id) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -47,6 +47,7 @@
  */
 class RolloutSystemTests {
 
+    private static final String MODEL = "m";
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration MIN_HANDOVER_INTERVAL = Duration.ofSeconds(3);
     private static final Duration LOAD_TIME = Duration.ofMillis(450);
@@ -65,6 +66,8 @@
         private long loadCompletionNanos;
         private long acceptedOrders;
         private long highestFencingToken;
+        private String loadingModel = MODEL;
+        private final Map<String, Long> otherModels = new HashMap<>();
         private TargetSignals signals = TargetSignals.NONE;
         private int calls;
 
@@ -74,10 +77,20 @@
 
         private void completeLoadIfDue() {
             if (loadingVersion != 0 && clock.nanos() >= loadCompletionNanos) {
-                version = loadingVersion;
+                if (loadingModel.equals(MODEL)) {
+                    version = loadingVersion;
+                } else {
+                    otherModels.put(loadingModel, loadingVersion);
+                }
                 loadingVersion = 0;
             }
         }
+
+        private Map<String, Long> weights() {
+            Map<String, Long> weights = new HashMap<>(otherModels);
+            weights.put(MODEL, version);
+            return weights;
+        }
     }
 
     private record SentOrder(
@@ -98,6 +111,7 @@
         private final RolloutSystem rollout;
         private final Random random = new Random(5);
         private boolean paused;
+        private boolean directoryStale;
         private double orderDelayProbability;
         private final List<Runnable> delayedOrders = new ArrayList<>();
 
@@ -121,7 +135,9 @@
         private void tick() {
             if (!paused) {
                 operators.tick();
-                directory.update(entries(), clock.nanos(), false);
+                if (!directoryStale) {
+                    directory.update(entries(), clock.nanos(), false);
+                }
                 rollout.tick();
             }
         }
@@ -133,7 +149,7 @@
             engine.calls++;
             signals.accept(engine.signals);
             return CompletableFuture.completedFuture(
-                    new EngineState(Map.of("m", engine.version), engine.loadingVersion != 0, engine.acceptedOrders));
+                    new EngineState(engine.weights(), engine.loadingVersion != 0, engine.acceptedOrders));
         }
 
         @Override
@@ -155,13 +171,14 @@
                 return OrderResult.FENCED;
             }
             engine.highestFencingToken = order.fencingToken();
-            if (engine.version >= order.version()) {
+            if (engine.weights().getOrDefault(order.model(), 0L) >= order.version()) {
                 return OrderResult.HELD;
             }
             if (engine.loadingVersion != 0 || engine.acceptedOrders != order.expectedAcceptedOrders()) {
                 return OrderResult.CONFLICT;
             }
             engine.acceptedOrders++;
+            engine.loadingModel = order.model();
             engine.loadingVersion = order.version();
             engine.loadCompletionNanos = clock.nanos() + LOAD_TIME.toNanos();
             return OrderResult.ACCEPTED;
@@ -192,7 +209,7 @@
         return engines.values().stream()
                 .map(engine -> {
                     engine.completeLoadIfDue();
-                    return TestTargets.engine(engine.id, engine.version);
+                    return TestTargets.engine(engine.id, engine.weights());
                 })
                 .toList();
     }
@@ -244,6 +261,26 @@
         assertThat(sentOrders.size(), equalTo(13));
     }
 
+    /** Guards against an engine that keeps old weights of a model, because it has a higher version of another one. */
+    @Test
+    void enginesWithTwoModelsGetTheNewWeightsOfBoth() {
+        startFleet(2, 5);
+        engines.values().forEach(engine -> engine.otherModels.put("n", 1L));
+        run(TICK);
+        vms.forEach(vm -> vm.directoryStale = true);
+        store.publish(new OperatorState(0, null, Map.of(MODEL, 5L, "n", 2L)));
+        run(Duration.ofSeconds(4));
+        vms.forEach(vm -> vm.directoryStale = false);
+        run(Duration.ofSeconds(6));
+        assertThat(versions(), contains(5L));
+        assertThat(
+                engines.values().stream()
+                        .map(engine -> engine.otherModels.get("n"))
+                        .distinct()
+                        .toList(),
+                contains(2L));
+    }
+
     /** Guards against orders to an engine that has said in its response to a call that it is leaving. */
     @Test
     void engineThatSaysThatItLeavesGetsNoOrdersOrFurtherCalls() {
