--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
@@ -20,7 +20,11 @@
  * orders, on condition that the writer is still the holder, and no order is sent once {@link #ORDER_WINDOW} has
  * passed since the last successful renewal was sent. Its time to live exceeds that window by the minimum interval
  * between the orders of two holders plus {@link #ORDER_DELIVERY_MARGIN}, and no VM can become the holder while the
- * record exists. The successor of an idle holder can therefore start immediately. Confined to the control thread.
+ * record exists. The successor of an idle holder can therefore start immediately.
+ *
+ * <p>Once the holder record has expired by the clock of this VM, no order is sent and the ordering record is not
+ * renewed until the store has confirmed the holder record: it may have been lost, and the ordering record of a VM that
+ * is no longer the holder would only delay the next one. Confined to the control thread.
  */
 final class RolloutLease {
 
@@ -48,6 +52,7 @@
     private final Duration orderingTtl;
     private long holderLease = SharedStore.NO_LEASE;
     private long orderingLease = SharedStore.NO_LEASE;
+    private long writtenOrderingLease = SharedStore.NO_LEASE;
     private long fencingToken;
     private boolean holderCallPending;
     private boolean orderingCallPending;
@@ -85,7 +90,7 @@
 
     /** Returns whether this VM may send an order now. */
     boolean maySendOrders() {
-        return isHeld() && !orderDeadline.hasPassed(clock);
+        return isUnexpired() && !orderDeadline.hasPassed(clock);
     }
 
     /** Returns the fencing token, which increases with each holder. */
@@ -101,15 +106,14 @@
         holderCallPending = true;
         long sentNanos = clock.nanos();
         control.onCompletion(
-                writeUnderNewLease(
-                        HOLDER_KEY, HOLDER_TTL, Map.of(HOLDER_KEY, ABSENT_REVISION, ORDERING_KEY, ABSENT_REVISION)),
+                writeHolderRecord(),
                 written -> {
                     holderCallPending = false;
                     if (written.revision().isPresent()) {
                         holderLease = written.lease();
                         fencingToken = written.revision().getAsLong();
                         holderExpiry = new Deadline(sentNanos + HOLDER_TTL.toNanos());
-                        nextHolderRenewal = Deadline.after(clock, RENEWAL_INTERVAL);
+                        nextHolderRenewal = new Deadline(sentNanos + RENEWAL_INTERVAL.toNanos());
                         log.info("Acquired the rollout lease with fencing token {}.", fencingToken);
                     }
                 },
@@ -142,29 +146,50 @@
                 });
     }
 
-    /** Writes the ordering record, or renews it if that is due; orders may be sent once the store has confirmed it. */
+    /**
+     * Writes the ordering record, or renews it if that is due, unless the holder record has expired by the clock of
+     * this VM. Orders may be sent once the store has confirmed the ordering record.
+     */
     void renewOrderingIfDue() {
-        if (orderingCallPending || !isHeld() || !nextOrderingRenewal.hasPassed(clock)) {
+        if (orderingCallPending || !isUnexpired() || !nextOrderingRenewal.hasPassed(clock)) {
             return;
         }
         orderingCallPending = true;
         long sentNanos = clock.nanos();
         nextOrderingRenewal = Deadline.after(clock, RENEWAL_INTERVAL);
-        if (orderingLease != SharedStore.NO_LEASE) {
-            control.onCompletion(
-                    store.renewLease(orderingLease), renewed -> onOrderingWritten(sentNanos), this::onOrderingFailed);
+        long lease = orderingLease;
+        control.onCompletion(
+                lease == SharedStore.NO_LEASE
+                        ? store.grantLease(orderingTtl)
+                        : store.renewLease(lease).thenApply(renewed -> lease),
+                renewed -> onOrderingLeaseRenewed(renewed, sentNanos),
+                this::onOrderingFailed);
+    }
+
+    /**
+     * Writes the ordering record unless the store has confirmed it. All attempts use the same lease: an attempt under
+     * another one that is executed late would make the record expire while this VM renews the other lease.
+     */
+    private void onOrderingLeaseRenewed(long lease, long sentNanos) {
+        if (!isHeld()) {
+            orderingCallPending = false;
+            return;
+        }
+        orderingLease = lease;
+        if (lease == writtenOrderingLease) {
+            onOrderingWritten(sentNanos);
             return;
         }
         control.onCompletion(
-                writeUnderNewLease(ORDERING_KEY, orderingTtl, Map.of(HOLDER_KEY, fencingToken)),
-                written -> {
-                    if (written.revision().isEmpty()) {
+                store.putRecordIf(ORDERING_KEY, vm, lease, Map.of(HOLDER_KEY, fencingToken)),
+                revision -> {
+                    if (revision.isEmpty()) {
                         orderingCallPending = false;
                         log.info("Lost the rollout lease: another VM has become the holder.");
                         relinquish();
                         return;
                     }
-                    orderingLease = written.lease();
+                    writtenOrderingLease = lease;
                     onOrderingWritten(sentNanos);
                 },
                 this::onOrderingFailed);
@@ -184,9 +209,10 @@
         log.debug("Failed to write or renew the ordering record: {}", failure.toString());
     }
 
-    private CompletableFuture<LeasedWrite> writeUnderNewLease(String key, Duration ttl, Map<String, Long> expected) {
-        return store.grantLease(ttl)
-                .thenCompose(lease -> store.putRecordIf(key, vm, lease, expected)
+    private CompletableFuture<LeasedWrite> writeHolderRecord() {
+        Map<String, Long> noHolder = Map.of(HOLDER_KEY, ABSENT_REVISION, ORDERING_KEY, ABSENT_REVISION);
+        return store.grantLease(HOLDER_TTL)
+                .thenCompose(lease -> store.putRecordIf(HOLDER_KEY, vm, lease, noHolder)
                         .thenCompose(revision -> revision.isPresent()
                                 ? CompletableFuture.completedFuture(new LeasedWrite(lease, revision))
                                 : store.revokeLease(lease).thenApply(revoked -> new LeasedWrite(lease, revision))));
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -47,6 +47,7 @@
  */
 class RolloutSystemTests {
 
+    private static final String MODEL = "m";
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration MIN_HANDOVER_INTERVAL = Duration.ofSeconds(3);
     private static final Duration LOAD_TIME = Duration.ofMillis(450);
@@ -65,6 +66,8 @@
         private long loadCompletionNanos;
         private long acceptedOrders;
         private long highestFencingToken;
+        private String loadingModel = MODEL;
+        private final Map<String, Long> otherModels = new HashMap<>();
         private TargetSignals signals = TargetSignals.NONE;
         private int calls;
 
@@ -74,10 +77,20 @@
 
         private void completeLoadIfDue() {
             if (loadingVersion != 0 && clock.nanos() >= loadCompletionNanos) {
-                version = loadingVersion;
+                if (loadingModel.equals(MODEL)) {
+                    version = loadingVersion;
+                } else {
+                    otherModels.put(loadingModel, loadingVersion);
+                }
                 loadingVersion = 0;
             }
         }
+
+        private Map<String, Long> weights() {
+            Map<String, Long> weights = new HashMap<>(otherModels);
+            weights.put(MODEL, version);
+            return weights;
+        }
     }
 
     private record SentOrder(
@@ -99,6 +112,7 @@
         private final RolloutSystem rollout;
         private final Random random = new Random(5);
         private boolean paused;
+        private boolean directoryStale;
         private double orderDelayProbability;
         private final List<Runnable> delayedOrders = new ArrayList<>();
 
@@ -122,7 +136,9 @@
         private void tick() {
             if (!paused) {
                 operators.tick();
-                directory.update(entries(), clock.nanos(), false);
+                if (!directoryStale) {
+                    directory.update(entries(), clock.nanos(), false);
+                }
                 rollout.tick();
             }
         }
@@ -134,7 +150,7 @@
             engine.calls++;
             signals.accept(engine.signals);
             return CompletableFuture.completedFuture(
-                    new EngineState(Map.of("m", engine.version), engine.loadingVersion != 0, engine.acceptedOrders));
+                    new EngineState(engine.weights(), engine.loadingVersion != 0, engine.acceptedOrders));
         }
 
         @Override
@@ -156,13 +172,14 @@
                 return OrderResult.FENCED;
             }
             engine.highestFencingToken = order.fencingToken();
-            if (engine.version >= order.version()) {
+            if (engine.weights().getOrDefault(order.model(), 0L) >= order.version()) {
                 return OrderResult.HELD;
             }
             if (engine.loadingVersion != 0 || engine.acceptedOrders != order.expectedAcceptedOrders()) {
                 return OrderResult.CONFLICT;
             }
             engine.acceptedOrders++;
+            engine.loadingModel = order.model();
             engine.loadingVersion = order.version();
             engine.loadCompletionNanos = clock.nanos() + LOAD_TIME.toNanos();
             return OrderResult.ACCEPTED;
@@ -193,7 +210,7 @@
         return engines.values().stream()
                 .map(engine -> {
                     engine.completeLoadIfDue();
-                    return TestTargets.engine(engine.id, engine.version);
+                    return TestTargets.engine(engine.id, engine.weights());
                 })
                 .toList();
     }
@@ -245,6 +262,27 @@
         assertThat(sentOrders.size(), equalTo(13));
     }
 
+    /** Guards against an engine that keeps old weights of a model, because it has a higher version of another one. */
+    @Test
+    void enginesWithTwoModelsGetTheNewWeightsOfBoth() {
+        startFleet(2, 5);
+        engines.values().forEach(engine -> engine.otherModels.put("n", 1L));
+        run(TICK);
+        vms.forEach(vm -> vm.directoryStale = true);
+        store.publishWeights(MODEL, 5);
+        store.publishWeights("n", 2);
+        run(Duration.ofSeconds(4));
+        vms.forEach(vm -> vm.directoryStale = false);
+        run(Duration.ofSeconds(6));
+        assertThat(versions(), contains(5L));
+        assertThat(
+                engines.values().stream()
+                        .map(engine -> engine.otherModels.get("n"))
+                        .distinct()
+                        .toList(),
+                contains(2L));
+    }
+
     /** Guards against orders to an engine that has said in its response to a call that it is leaving. */
     @Test
     void engineThatSaysThatItLeavesGetsNoOrdersOrFurtherCalls() {
@@ -428,6 +466,45 @@
         assertThat(sentOrders.stream().map(SentOrder::vm).distinct().count(), equalTo(2L));
     }
 
+    /** Guards against a gap without orders after a holder has resumed whose lease expired while it was paused. */
+    @Test
+    void holderThatResumesWithoutLeaseDoesNotDelayItsSuccessor() {
+        startFleet(3, 13);
+        publishVersion(2);
+        run(Duration.ofMillis(600));
+        Vm first = holder();
+        Duration orderingTtl =
+                RolloutLease.ORDER_WINDOW.plus(MIN_HANDOVER_INTERVAL).plus(RolloutLease.ORDER_DELIVERY_MARGIN);
+        long pauseNanos = clock.nanos();
+        int before = sentOrders.size();
+        first.paused = true;
+        run(Duration.ofSeconds(4));
+        first.paused = false;
+        run(Duration.ofSeconds(10));
+        assertThat(versions(), contains(2L));
+        assertFencedHandovers();
+        Duration gap = Duration.ofNanos(sentOrders.get(before).atNanos() - pauseNanos);
+        assertThat(
+                gap,
+                lessThanOrEqualTo(
+                        orderingTtl.plus(RolloutSystem.ACQUIRE_INTERVAL).plus(TICK.multipliedBy(6))));
+    }
+
+    /** Guards against orders that follow a response from before a pause and are sent after it. */
+    @Test
+    void responseHandledAfterPauseLeadsToNoOrder() {
+        startFleet(2, 13);
+        publishVersion(2);
+        while (engines.values().stream().allMatch(engine -> engine.calls == 0)) {
+            control.runAll();
+            clock.advance(TICK);
+            vms.forEach(Vm::tick);
+        }
+        clock.advance(RolloutLease.HOLDER_TTL);
+        control.runAll();
+        assertThat(sentOrders, empty());
+    }
+
     @Test
     void holderWithoutStoreStopsBeforeSuccessorStarts() {
         startFleet(1, 13);
