Authenticate with the keys and the age of one copy of the configuration

Seen by callers: a request with a withdrawn key could be accepted by a VM whose configuration was too old to verify keys, if a newer one arrived while the request was being authenticated.

Cause: CallerRequest.admit took the keys from the configuration of the moment, and asked for its age afterwards. OperatorStateSystem replaces both. A thread that was suspended in between, or overtaken by the control thread when the store answers again, judged the old keys by the age of the new copy. Such a copy may be older than the time for revoking a key.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -9,6 +9,7 @@
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
@@ -141,19 +142,16 @@
     /** Reads and authenticates the request, chooses its pool, and charges it to its workspace. */
     void admit() throws IOException {
         metadata = context.headerCodec().readCallerHeaders(request.getHeaders());
-        RelayConfiguration configuration = context.operatorState()
-                .configuration()
-                .orElseThrow(() -> ShuntException.notRun(
-                        ErrorCode.NOT_CONFIGURED,
-                        Step.CONFIGURE,
-                        "This router has not received a configuration yet.",
-                        CONFIGURATION_RETRY_DELAY));
-        RelayRoute matchedRoute = configuration
-                .route(host(), Request.getPathInContext(request))
-                .orElseThrow(() -> rejectionUnlessStale(
-                        ErrorCode.UNKNOWN_ROUTE, Step.ROUTE, "No route serves this host and path."));
+        OperatorStateSystem.Snapshot state =
+                context.operatorState().snapshot().orElseThrow(CallerRequest::missingConfiguration);
+        RelayConfiguration configuration = state.state().configuration();
+        if (configuration == null) {
+            throw missingConfiguration();
+        }
+        RelayRoute matchedRoute =
+                configuration.route(host(), Request.getPathInContext(request)).orElseThrow(() -> unknownRoute(state));
         route = matchedRoute;
-        authenticate(configuration, matchedRoute);
+        authenticate(state, configuration, matchedRoute);
         if (metadata.requestId() == null) {
             throw ShuntException.notRun(ErrorCode.MALFORMED_REQUEST, Step.PARSE, "The request has no request id.");
         }
@@ -180,9 +178,19 @@
         return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
     }
 
-    /** Returns an error that depends on the configuration. If that may be stale, the caller is asked to retry. */
-    private ShuntException rejectionUnlessStale(ErrorCode code, Step step, String message) {
-        return context.isConfigurationFresh() ? ShuntException.notRun(code, step, message) : staleConfiguration();
+    private static ShuntException missingConfiguration() {
+        return ShuntException.notRun(
+                ErrorCode.NOT_CONFIGURED,
+                Step.CONFIGURE,
+                "This router has not received a configuration yet.",
+                CONFIGURATION_RETRY_DELAY);
+    }
+
+    /** Returns the error for a request without a route. If the configuration may be stale, the caller is asked to retry. */
+    private ShuntException unknownRoute(OperatorStateSystem.Snapshot state) {
+        return context.isFresh(state)
+                ? ShuntException.notRun(ErrorCode.UNKNOWN_ROUTE, Step.ROUTE, "No route serves this host and path.")
+                : staleConfiguration();
     }
 
     private static ShuntException staleConfiguration() {
@@ -193,16 +201,17 @@
                 CONFIGURATION_RETRY_DELAY);
     }
 
-    private void authenticate(RelayConfiguration configuration, RelayRoute matchedRoute) {
+    private void authenticate(
+            OperatorStateSystem.Snapshot state, RelayConfiguration configuration, RelayRoute matchedRoute) {
         keysInUse = !configuration.workspaces().isEmpty();
         if (!keysInUse) {
             return;
         }
         if (matchedRoute.anonymous()) {
-            workspace = workspaceOfOptionalKey(configuration);
+            workspace = workspaceOfOptionalKey(state, configuration);
             return;
         }
-        if (!context.isConfigurationFresh()) {
+        if (!context.isFresh(state)) {
             throw staleConfiguration();
         }
         String apiKey = metadata.apiKey();
@@ -216,9 +225,10 @@
     }
 
     /** Returns the workspace of a request that needs no API key, or null if it has none that is certainly valid. */
-    private @Nullable RelayWorkspace workspaceOfOptionalKey(RelayConfiguration configuration) {
+    private @Nullable RelayWorkspace workspaceOfOptionalKey(
+            OperatorStateSystem.Snapshot state, RelayConfiguration configuration) {
         String apiKey = metadata.apiKey();
-        return apiKey == null || !context.isConfigurationFresh()
+        return apiKey == null || !context.isFresh(state)
                 ? null
                 : configuration.workspaceOfKey(apiKey).orElse(null);
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
@@ -62,6 +62,20 @@
      * @return false before the first configuration arrives, and while the store has not responded for too long
      */
     public boolean isConfigurationFresh() {
-        return operatorState.configuration().isPresent() && operatorState.age().compareTo(maxConfigurationAge) < 0;
+        return operatorState
+                .snapshot()
+                .filter(copy -> copy.state().configuration() != null && isFresh(copy))
+                .isPresent();
+    }
+
+    /**
+     * Whether a copy of the operators' state is recent enough to decide which API keys are valid. The age is that of the
+     * copy from which the keys are taken, since a newer one may replace it at any time.
+     *
+     * @param copy the copy
+     * @return false if the store has not responded for too long since
+     */
+    boolean isFresh(OperatorStateSystem.Snapshot copy) {
+        return clock.nanos() - copy.asOfNanos() < maxConfigurationAge.toNanos();
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -294,8 +294,18 @@
     }
 
     void configure() {
-        RelayConfiguration configuration = new RelayConfiguration(
-                1,
+        publish(configuration(1, Map.of("secret", "w", "other-secret", "w2", "limited-secret", "limited")));
+        operators.tick();
+        control.runAll();
+    }
+
+    void publish(RelayConfiguration configuration) {
+        store.publish(new OperatorState(0, configuration, Map.of()));
+    }
+
+    static RelayConfiguration configuration(long version, Map<String, String> workspaceByKey) {
+        return new RelayConfiguration(
+                version,
                 List.of(
                         route("/once/", RouteKind.ONCE, false),
                         route("/safe/", RouteKind.IDEMPOTENT, false),
@@ -308,12 +318,9 @@
                         "w", new RelayWorkspace("w", 0, false, false, 1, 0, 0),
                         "w2", new RelayWorkspace("w2", 0, false, false, 1, 0, 0),
                         "limited", new RelayWorkspace("limited", 0, false, false, 1, 1, 1)),
-                Map.of("secret", "w", "other-secret", "w2", "limited-secret", "limited"),
+                workspaceByKey,
                 List.of(),
                 CallerLimits.DEFAULT);
-        store.publish(new OperatorState(0, configuration, Map.of()));
-        operators.tick();
-        control.runAll();
     }
 
     org.eclipse.jetty.client.Request request(String path) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
@@ -15,14 +15,21 @@
 public final class TestHeaderCodec implements HeaderCodec {
 
     private volatile Consumer<String> targetChosen = target -> {};
+    private volatile Runnable callerHeadersRead = () -> {};
 
     /** Sets what happens after a target has been chosen for a request, and before the request is sent. */
     public void onTargetChosen(Consumer<String> action) {
         targetChosen = action;
     }
 
+    /** Sets what happens when the headers of a caller's request are read, which is before it is authenticated. */
+    public void onCallerHeadersRead(Runnable action) {
+        callerHeadersRead = action;
+    }
+
     @Override
     public CallerRequestMetadata readCallerHeaders(HttpFields headers) {
+        callerHeadersRead.run();
         String timeoutMillis = headers.get("t-timeout");
         String promptParts = headers.get("t-parts");
         return new CallerRequestMetadata(
