Take a peer's evidence for its own revision, and as of the time it was asked

Seen by callers: a withdrawn key went on working, without end, at a VM that heard of the revision without the key and could not fetch it; and after a pause, at a VM that read a response to a gossip exchange from before the pause.

Cause: what a peer says of its contact with the store, and of the members it has heard, was taken for evidence that this VM's own revision was the latest at the moment at which the message was read. A peer's contact shows only that there was no later revision than the peer's, and a response that waited shows nothing of the time after the request. The majority of members counted although a member had a later revision, against the documentation of isCurrent.

Why it works: a contact counts only if this VM has the peer's revision or a later one, so by induction each contact that is passed on shows that there was no later revision than that of the VM that passes it on. Ages in a response count from the time at which the exchange was begun, which is no later than the response. A majority is recorded as evidence while no live member has a later revision, and expires as its heartbeats do.

What remains: the ages in a request of a peer count from the time at which it is read; see docs/design/bounds-and-arrival.md.

--- a/core/src/main/java/dev/bluebellshunt/core/member/GossipSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/member/GossipSystem.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /** Exchanges membership and configuration revisions with one random peer at a time. */
@@ -27,6 +28,7 @@
     private final CrashSuspects suspects;
     private final PeerClient peers;
     private final ControlExecutor control;
+    private final MonotonicClock clock;
     private final RandomGenerator random;
     private final JitteredTimer exchangeTimer;
     private Set<String> setSeedAddresses = Set.of();
@@ -56,6 +58,7 @@
         this.suspects = suspects;
         this.peers = peers;
         this.control = control;
+        this.clock = clock;
         this.random = random;
         this.exchangeTimer = new JitteredTimer(clock, random, EXCHANGE_INTERVAL);
     }
@@ -87,7 +90,11 @@
             return;
         }
         String address = addresses.get(random.nextInt(addresses.size()));
-        control.onCompletion(peers.gossip(address, createMessage(false)), this::mergeMessage, failure -> {});
+        long sentNanos = clock.nanos();
+        control.onCompletion(
+                peers.gossip(address, createMessage(false)),
+                response -> mergeMessage(response, sentNanos),
+                failure -> {});
     }
 
     /**
@@ -97,19 +104,24 @@
      * @return this process's response
      */
     public GossipMessage handleExchange(GossipMessage message) {
-        mergeMessage(message);
+        mergeMessage(message, clock.nanos());
         members.updateSelf(configuration.revision(), leaving);
         return createMessage(message.membersHash() != members.membershipHash());
     }
 
-    private void mergeMessage(GossipMessage message) {
+    /** Merges a message, whose ages count from a time before which it was not created. */
+    private void mergeMessage(GossipMessage message, long asOfNanos) {
         for (GossipMessage.MemberRow row : message.rows()) {
-            members.mergeMember(row.member(), row.ageMillis());
+            members.mergeMember(row.member(), asOfNanos - TimeUnit.MILLISECONDS.toNanos(row.ageMillis()));
+            if (row.member().vm().equals(message.from()) && message.storeContactAgeMillis() >= 0) {
+                configuration.mergeStoreContact(
+                        asOfNanos - TimeUnit.MILLISECONDS.toNanos(message.storeContactAgeMillis()),
+                        row.member().revision());
+            }
         }
-        members.mergeAges(message.membersHash(), message.ages());
+        members.mergeAges(message.membersHash(), message.ages(), asOfNanos);
         suspects.mergeReport(message.crashStrikes());
         suspects.promptParts().mergeReport(message.promptParts());
-        configuration.mergeStoreContact(message.storeContactAgeMillis());
         for (GossipMessage.MemberRow row : message.rows()) {
             configuration.fetchIfNewer(row.member());
         }
--- a/core/src/main/java/dev/bluebellshunt/core/member/MemberTable.java
+++ b/core/src/main/java/dev/bluebellshunt/core/member/MemberTable.java
@@ -9,7 +9,7 @@
 import java.util.Base64;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
@@ -18,12 +18,12 @@
  * The routers known to this process. Confined to the control thread.
  *
  * <p>A member without a recent heartbeat is skipped but stays in the table, and counts in
- * {@link #hasMajority()}, until the platform's list no longer contains its VM or it has left.
+ * {@link #majorityHeardNanos()}, until the platform's list no longer contains its VM or it has left.
  */
 public final class MemberTable {
 
     /** Time without a heartbeat after which a member is no longer considered alive. */
-    static final Duration LIVENESS_TIMEOUT = Duration.ofSeconds(8);
+    public static final Duration LIVENESS_TIMEOUT = Duration.ofSeconds(8);
 
     /** Unit of heartbeat ages in gossip messages. */
     static final Duration AGE_UNIT = Duration.ofMillis(100);
@@ -70,13 +70,12 @@
      * Merges a member description received from a peer.
      *
      * @param member the description
-     * @param ageMillis milliseconds since the last heartbeat of the member
+     * @param heardNanos a time after which the member's last heartbeat was heard
      */
-    public void mergeMember(Member member, long ageMillis) {
+    public void mergeMember(Member member, long heardNanos) {
         if (member.vm().equals(self.vm())) {
             return;
         }
-        long heardNanos = clock.nanos() - Duration.ofMillis(ageMillis).toNanos();
         MemberEntry known = collectRows.get(member.vm());
         if (known == null || member.isNewerThan(known.member)) {
             collectRows.put(
@@ -91,8 +90,9 @@
      *
      * @param membersHash the hash of the members known to the peer
      * @param ages the encoded heartbeat ages
+     * @param asOfNanos a time before which the peer did not encode them
      */
-    public void mergeAges(long membersHash, String ages) {
+    public void mergeAges(long membersHash, String ages, long asOfNanos) {
         byte[] units = Base64.getDecoder().decode(ages);
         if (membersHash != membershipHash() || units.length != collectRows.size() + 1) {
             return;
@@ -102,8 +102,7 @@
             MemberEntry row = collectRows.get(vm);
             int age = Byte.toUnsignedInt(units[i++]);
             if (row != null && age < MAX_AGE_UNITS) {
-                row.updateLastHeard(
-                        clock.nanos() - AGE_UNIT.multipliedBy(age + 1L).toNanos());
+                row.updateLastHeard(asOfNanos - AGE_UNIT.multipliedBy(age + 1L).toNanos());
             }
         }
     }
@@ -219,22 +218,40 @@
     }
 
     /**
-     * Returns whether more than half of the members, including this process, are alive.
+     * Returns the latest time as of which more than half of the members, including this process, were heard.
      *
-     * @return false for a process on the minority side of a partition
+     * @return the time, or empty for a process on the minority side of a partition
      */
-    public boolean hasMajority() {
+    public OptionalLong majorityHeardNanos() {
+        long now = clock.nanos();
         int knownMembers = 1;
-        int aliveMembers = 1;
-        for (Map.Entry<String, MemberEntry> entry : collectRows.entrySet()) {
-            boolean alive = isAlive(entry.getValue());
-            if (entry.getValue().member.leaving() && !alive) {
-                continue;
+        List<Long> peerAges = new ArrayList<>(collectRows.size());
+        for (MemberEntry row : collectRows.values()) {
+            boolean alive = isAlive(row);
+            knownMembers += alive || !row.member.leaving() ? 1 : 0;
+            if (alive) {
+                peerAges.add(now - row.lastHeardNanos);
             }
-            knownMembers++;
-            aliveMembers += alive ? 1 : 0;
         }
-        return aliveMembers * 2 > Math.max(knownMembers, expectedRouters);
+        int neededPeers = Math.max(knownMembers, expectedRouters) / 2;
+        if (neededPeers == 0) {
+            return OptionalLong.of(now);
+        }
+        if (peerAges.size() < neededPeers) {
+            return OptionalLong.empty();
+        }
+        peerAges.sort(Comparator.naturalOrder());
+        return OptionalLong.of(now - peerAges.get(neededPeers - 1));
+    }
+
+    /**
+     * Returns whether a live peer has a later configuration revision.
+     *
+     * @param revision the revision to compare with
+     * @return true if any peer's revision is higher
+     */
+    public boolean hasLaterRevision(long revision) {
+        return collectRows.values().stream().anyMatch(row -> isAlive(row) && row.member.revision() > revision);
     }
 
     private boolean isAlive(MemberEntry row) {
--- a/core/src/main/java/dev/bluebellshunt/core/spread/ConfigurationSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/spread/ConfigurationSystem.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.core.model.FleetConfiguration;
 import dev.bluebellshunt.core.store.KeyValueStore;
 import dev.bluebellshunt.core.store.StoreEntry;
+import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Distributes and activates configuration revisions on this VM.
@@ -63,6 +65,7 @@
     private long fetchingRevision;
     private boolean storeContactKnown;
     private long storeContactNanos;
+    private @Nullable Deadline majorityEvidenceEnd;
 
     /**
      * Creates the system.
@@ -98,6 +101,7 @@
 
     @Override
     public void tick() {
+        recordMajority();
         if (readPending) {
             return;
         }
@@ -181,13 +185,15 @@
     }
 
     /**
-     * Merges a peer's information about the last successful access to the store.
+     * Merges a peer's information about the last successful access to the store. It is evidence for the peer's revision,
+     * and thus of no use while this VM lacks that revision.
      *
-     * @param ageMillis milliseconds since the last access, or negative if the peer knows of none
+     * @param contactNanos a time before the access, on the clock of this VM
+     * @param peerRevision the revision that was active on the peer
      */
-    public void mergeStoreContact(long ageMillis) {
-        if (ageMillis >= 0) {
-            recordStoreContact(clock.nanos() - Duration.ofMillis(ageMillis).toNanos());
+    public void mergeStoreContact(long contactNanos, long peerRevision) {
+        if (peerRevision <= current.revision()) {
+            recordStoreContact(contactNanos);
         }
     }
 
@@ -209,15 +215,27 @@
                 : UNKNOWN_AGE;
     }
 
+    /** Records that a majority of members is heard, unless one of them has a later revision. */
+    private void recordMajority() {
+        if (members.hasLaterRevision(current.revision())) {
+            return;
+        }
+        members.majorityHeardNanos()
+                .ifPresent(heardNanos ->
+                        majorityEvidenceEnd = new Deadline(heardNanos + MemberTable.LIVENESS_TIMEOUT.toNanos()));
+    }
+
     /**
-     * Returns whether there is evidence that the active revision is the latest: a VM reached the store
-     * recently, or this VM is in contact with a majority of members, none of which knows a later revision.
+     * Returns whether there is evidence that the active revision is the latest: a VM with no later revision reached the
+     * store recently, or this VM is in contact with a majority of members, none of which knows a later revision.
      *
      * @return false for an isolated VM
      */
     public boolean isCurrent() {
+        Deadline majorityEnd = majorityEvidenceEnd;
+        boolean hasMajority = majorityEnd != null && !majorityEnd.hasPassed(clock);
         long age = storeContactAgeMillis();
-        return (age != UNKNOWN_AGE && age < STALE_AFTER.toMillis()) || members.hasMajority();
+        return hasMajority || (age != UNKNOWN_AGE && age < STALE_AFTER.toMillis());
     }
 
     public long revision() {
--- a/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/limit/LimitFleet.java
@@ -162,6 +162,7 @@
     final class Vm implements PeerTokenClient {
         final String name;
         final ManualControlExecutor control = new ManualControlExecutor();
+        final MonotonicClock driftingClock;
         final MemberTable members;
         final ShareSystem shares;
         final WorkspaceLimiter limiter;
@@ -173,7 +174,7 @@
 
         private Vm(String name) {
             this.name = name;
-            MonotonicClock driftingClock = clock.drifting(1 + MAX_CLOCK_DRIFT * (2 * random.nextDouble() - 1));
+            driftingClock = clock.drifting(1 + MAX_CLOCK_DRIFT * (2 * random.nextDouble() - 1));
             Member self = new Member(name, clock.nanos() + 1, "10.0.0.1", 1, "domain", 0, false, 0);
             members = new MemberTable(driftingClock, self);
             limiter = new WorkspaceLimiter(driftingClock, this);
@@ -192,7 +193,7 @@
             members.updateSelf(0, leaving);
             for (Vm other : vms.values()) {
                 if (!other.paused) {
-                    members.mergeMember(other.members.self(), 0);
+                    members.mergeMember(other.members.self(), driftingClock.nanos());
                 }
             }
             members.removeMembers(terminatedVms);
--- a/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
+++ b/core/src/test/java/dev/bluebellshunt/core/spread/ConfigurationFaultMatrixTests.java
@@ -131,6 +131,43 @@
         assertThat(fleet.vm("vm-2").configuration.isCurrent(), is(true));
     }
 
+    /** Guards against keys of an old revision that are accepted for as long as other VMs reach the store. */
+    @Test
+    void vmThatCannotFetchLaterRevisionReportsStaleRevisionInTime() {
+        SimulatedFleet fleet = new SimulatedFleet(VMS, SEED);
+        fleet.publish("one");
+        fleet.advance(SETTLING_TIME);
+        fleet.isolatedFromStore.add("vm-1");
+        fleet.failingFetches.add("vm-1");
+        fleet.publish("two");
+        fleet.advance(ACTIVATION_LIMIT);
+        assertThat(fleet.vm("vm-1").configuration.isCurrent(), is(false));
+        assertThat(fleet.vm("vm-2").configuration.isCurrent(), is(true));
+        fleet.failingFetches.clear();
+        fleet.advance(Duration.ofSeconds(3));
+        assertThat(fleet.vm("vm-1").configuration.revision(), is(fleet.publishedRevision()));
+        assertThat(fleet.vm("vm-1").configuration.isCurrent(), is(true));
+    }
+
+    /** Guards against a response from before a pause that makes an old revision appear to be the latest after it. */
+    @Test
+    void responseThatWaitedThroughPauseIsNoEvidenceOfCurrentRevision() {
+        SimulatedFleet fleet = new SimulatedFleet(VMS, SEED);
+        fleet.publish("one");
+        fleet.advance(SETTLING_TIME);
+        SimulatedFleet.Vm vm = fleet.vm("vm-1");
+        fleet.clock.advance(Duration.ofSeconds(2));
+        vm.gossip.tick();
+        vm.paused = true;
+        fleet.publish("two");
+        fleet.advance(ACTIVATION_LIMIT);
+        fleet.isolatedVms.add("vm-1");
+        vm.paused = false;
+        vm.control.runAll();
+        assertThat(vm.configuration.revision() < fleet.publishedRevision(), is(true));
+        assertThat(vm.configuration.isCurrent(), is(false));
+    }
+
     @Test
     void olderRevisionIsNeverApplied() {
         SimulatedFleet fleet = new SimulatedFleet(VMS, SEED);
--- a/core/src/test/java/dev/bluebellshunt/core/spread/SimulatedFleet.java
+++ b/core/src/test/java/dev/bluebellshunt/core/spread/SimulatedFleet.java
@@ -39,6 +39,8 @@
     final Set<String> isolatedVms = new HashSet<>();
     /** VMs that can reach their peers but not the store. */
     final Set<String> isolatedFromStore = new HashSet<>();
+    /** VMs whose fetches of the configuration fail, although their gossip gets through. */
+    final Set<String> failingFetches = new HashSet<>();
 
     private final Map<String, Long> latestActivated = new TreeMap<>();
     private final Random random;
@@ -164,7 +166,7 @@
         @Override
         public CompletableFuture<ConfigurationPayload> configuration(String address) {
             String peer = address.substring(0, address.indexOf(':'));
-            return areLinked(name, peer)
+            return areLinked(name, peer) && !failingFetches.contains(name)
                     ? CompletableFuture.completedFuture(vm(peer).configuration.payload())
                     : CompletableFuture.failedFuture(new IOException("network partition"));
         }
--- a/lab/src/main/java/dev/bluebellshunt/lab/bench/ScalingCommand.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/bench/ScalingCommand.java
@@ -195,7 +195,7 @@
             members.add(new Member("vm-" + i, 1_790_000_000_000L, "10.0.1." + i % 250, 7000, "domain-1", 1, false, 9));
         }
         MemberTable table = new MemberTable(clock, members.getFirst());
-        members.forEach(member -> table.mergeMember(member, 0));
+        members.forEach(member -> table.mergeMember(member, clock.nanos()));
         GossipMessage message = createGossipMessage(table, false);
         printRow(
                 console,
@@ -216,7 +216,7 @@
                 console,
                 "hearing a gossip message",
                 count,
-                meanNanos(() -> table.mergeAges(message.membersHash(), message.ages())),
+                meanNanos(() -> table.mergeAges(message.membersHash(), message.ages(), clock.nanos())),
                 "ns");
         printRow(console, "rendezvous choice of owners", count, meanNanos(() -> blackhole += countOwners(vms)), "ns");
     }
