Publish until when the router's configuration is current, not whether it is

Seen by callers: after a pause of the VM, a withdrawn key was accepted by the threads that handle requests until the control thread had run again.

Evidence: the new test failed before the fix (still current 30 s after the last tick, by a clock that goes on during the pause).

--- a/core/src/main/java/dev/bluebellshunt/core/spread/ConfigurationSystem.java
+++ b/core/src/main/java/dev/bluebellshunt/core/spread/ConfigurationSystem.java
@@ -226,16 +226,30 @@
     }
 
     /**
-     * Returns whether there is evidence that the active revision is the latest: a VM with no later revision reached the
+     * Returns until when there is evidence that the active revision is the latest: a VM with no later revision reached the
      * store recently, or this VM is in contact with a majority of members, none of which knows a later revision.
      *
-     * @return false for an isolated VM
+     * @return the end of the evidence, which has passed for an isolated VM; empty if there has never been any
      */
-    public boolean isCurrent() {
+    public Optional<Deadline> currentUntil() {
         Deadline majorityEnd = majorityEvidenceEnd;
-        boolean hasMajority = majorityEnd != null && !majorityEnd.hasPassed(clock);
-        long age = storeContactAgeMillis();
-        return hasMajority || (age != UNKNOWN_AGE && age < STALE_AFTER.toMillis());
+        if (!storeContactKnown) {
+            return Optional.ofNullable(majorityEnd);
+        }
+        Deadline contactEnd = new Deadline(storeContactNanos + STALE_AFTER.toNanos());
+        if (majorityEnd == null || majorityEnd.atNanos() - contactEnd.atNanos() < 0) {
+            return Optional.of(contactEnd);
+        }
+        return Optional.of(majorityEnd);
+    }
+
+    /**
+     * Returns whether there is evidence that the active revision is the latest.
+     *
+     * @return false after the time of {@link #currentUntil()}
+     */
+    public boolean isCurrent() {
+        return currentUntil().filter(end -> !end.hasPassed(clock)).isPresent();
     }
 
     public long revision() {
--- a/router/src/main/java/dev/bluebellshunt/router/admin/AdminHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/admin/AdminHandler.java
@@ -89,8 +89,9 @@
 
     private void sendReadiness(Response response, Callback callback) {
         RouterSnapshot snapshot = snapshots.snapshot();
-        boolean ready =
-                snapshot.configuration().isPresent() && snapshot.configurationCurrent() && !drainState.isDraining();
+        boolean ready = snapshot.configuration().isPresent()
+                && snapshot.isConfigurationCurrent(proxySupport.clock())
+                && !drainState.isDraining();
         int status = ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
         sendText(response, callback, status, ready ? "ready\n" : "not ready\n");
     }
@@ -157,7 +158,7 @@
         return new Status(
                 vm,
                 snapshot.configuration().revision(),
-                snapshot.configurationCurrent(),
+                snapshot.isConfigurationCurrent(proxySupport.clock()),
                 drainState.isDraining(),
                 drainState.openRequests(),
                 snapshot.members().size());
--- a/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
+++ b/router/src/main/java/dev/bluebellshunt/router/caller/CallerHandler.java
@@ -241,7 +241,7 @@
         }
 
         private Workspace authenticate() {
-            if (!snapshot.configurationCurrent()) {
+            if (!snapshot.isConfigurationCurrent(support.clock())) {
                 throw ShuntException.notRun(
                         ErrorCode.CONFIGURATION_STALE,
                         Step.AUTHENTICATE,
--- a/router/src/main/java/dev/bluebellshunt/router/control/SnapshotSystem.java
+++ b/router/src/main/java/dev/bluebellshunt/router/control/SnapshotSystem.java
@@ -32,7 +32,7 @@
     /**
      * Creates the publisher.
      *
-     * @param configurationSystem tells whether there is evidence that the configuration revision is the latest
+     * @param configurationSystem tells until when there is evidence that the configuration revision is the latest
      * @param targets the target table
      * @param members the member table
      * @param shares tells which VMs hold shares of the limits
@@ -68,7 +68,11 @@
             routing = new RoutingSnapshot(views);
         }
         RouterSnapshot next = new RouterSnapshot(
-                configuration, routing, configurationSystem.isCurrent(), members.all(), lendersByGroup());
+                configuration,
+                routing,
+                configurationSystem.currentUntil().orElse(null),
+                members.all(),
+                lendersByGroup());
         if (!next.equals(holder.snapshot())) {
             holder.publish(next);
         }
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/ProxyTestHarness.java
@@ -122,7 +122,8 @@
                 Map.of(),
                 List.of(),
                 Map.of());
-        RouterSnapshot snapshot = new RouterSnapshot(configuration, routing(), true, List.of(), Map.of());
+        RouterSnapshot snapshot = new RouterSnapshot(
+                configuration, routing(), Deadline.after(clock, Duration.ofHours(1)), List.of(), Map.of());
         return new CallContext(
                 "request-1",
                 snapshot,
