Terminate a VM only by a list that was requested after the timeout

Seen by operators: a router that stood still for a minute could remove a live router from its members, and take over its shares of the limits while that one used them still. The two together may admit more than a workspace's rate.

Cause: the time for which a VM is missing from the platform's list was compared with the clock when a list arrived. A list that had been requested before the pause, and lacked the VM because it lagged, counted as one from after the pause.

Evidence: the new test failed before the fix (the VM was removed by two lists that were requested 4 s apart); it passes with it. A test beside it shows that a VM that is still missing in a later list is removed as before.

Why it works: the timeout counts from the arrival of the first list without the VM, and up to the request of the last one, so that neither includes time in which the platform may have listed it.

--- a/router/src/main/java/dev/bluebellshunt/router/control/VmListSystem.java
+++ b/router/src/main/java/dev/bluebellshunt/router/control/VmListSystem.java
@@ -26,7 +26,7 @@
  * Polls the platform's VM list, and reports leaving and terminated VMs to the other control systems.
  *
  * <p>The list is eventually consistent, so a VM is considered terminated only after it has been missing from
- * the list for {@link #TERMINATION_TIMEOUT}.
+ * the list for {@link #TERMINATION_TIMEOUT}, up to a list that was requested after that time.
  */
 public final class VmListSystem implements ControlSystem {
 
@@ -89,16 +89,17 @@
             return;
         }
         readPending = true;
+        long sentNanos = clock.nanos();
         control.onCompletion(
                 vmList.readEntries(),
                 entries -> {
                     readPending = false;
-                    applyList(entries);
+                    applyList(entries, sentNanos);
                 },
                 failure -> readPending = false);
     }
 
-    private void applyList(List<VmEntry> entries) {
+    private void applyList(List<VmEntry> entries, long asOfNanos) {
         targets.setHostsLeavingByList(entries.stream()
                 .filter(entry -> !entry.isRouter() && entry.isLeaving())
                 .map(VmEntry::host)
@@ -113,10 +114,10 @@
         }
         gossip.setSeedAddresses(seeds);
         members.setExpectedRouters(listedRouters.size());
-        updateTerminatedVms(listedRouters);
+        updateTerminatedVms(listedRouters, asOfNanos);
     }
 
-    private void updateTerminatedVms(Set<String> listedRouters) {
+    private void updateTerminatedVms(Set<String> listedRouters, long asOfNanos) {
         knownVms.addAll(listedRouters);
         members.all().stream().map(Member::vm).forEach(knownVms::add);
         knownVms.addAll(shares.knownHolders());
@@ -126,9 +127,9 @@
             if (listedRouters.contains(vm)) {
                 continue;
             }
-            if (terminationDeadlines
-                    .computeIfAbsent(vm, v -> Deadline.after(clock, TERMINATION_TIMEOUT))
-                    .hasPassed(clock)) {
+            Deadline deadline =
+                    terminationDeadlines.computeIfAbsent(vm, v -> Deadline.after(clock, TERMINATION_TIMEOUT));
+            if (asOfNanos - deadline.atNanos() >= 0) {
                 terminated.add(vm);
             }
         }
