Send the path and query of a request to its target as the caller sent them

Callers of a route with the prefix `/` whose path began with two slashes had another request run: `//archive/notice/7` reached the engine as `/notice/7`. A query with invalid percent-encoding (`?a=%zz`) got a 502.

Cause: Jetty's client parses what Request.path is given as a URI reference, in which two slashes begin a host.

Evidence: RequestTargetTests compares the request line that a target reads with the one sent.

Why it works: UnparsedTargetRequest splits path and query at the first question mark and holds them as given, so that nothing parses them. Jetty writes them into the request line without a change.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.transport.HardTimeout;
 import dev.bluebellshunt.transport.ResponseBody;
+import dev.bluebellshunt.transport.UnparsedTargetRequest;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
@@ -51,9 +52,7 @@
             HttpFields headers,
             Duration timeout) {
         this.timeout = timeout;
-        this.request = httpClient
-                .newRequest(target.host(), target.port())
-                .path(outgoing.pathAndQuery())
+        this.request = UnparsedTargetRequest.create(httpClient, target.host(), target.port(), outgoing.pathAndQuery())
                 .method(outgoing.method())
                 .headers(fields -> fields.add(headers))
                 .onRequestBegin(r -> {
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -294,15 +294,19 @@
     }
 
     void configure() {
+        configure(List.of(
+                route("/once/", RouteKind.ONCE, false),
+                route("/safe/", RouteKind.IDEMPOTENT, false),
+                route("/stream/", RouteKind.STREAM, false),
+                resumableStream("/resumable/"),
+                route("/open/", RouteKind.IDEMPOTENT, true),
+                route("other.example", "/once/", RouteKind.ONCE, false)));
+    }
+
+    void configure(List<RelayRoute> routes) {
         RelayConfiguration configuration = new RelayConfiguration(
                 1,
-                List.of(
-                        route("/once/", RouteKind.ONCE, false),
-                        route("/safe/", RouteKind.IDEMPOTENT, false),
-                        route("/stream/", RouteKind.STREAM, false),
-                        resumableStream("/resumable/"),
-                        route("/open/", RouteKind.IDEMPOTENT, true),
-                        route("other.example", "/once/", RouteKind.ONCE, false)),
+                routes,
                 Map.of("apps", new PoolSpec("apps", 0, null)),
                 Map.of(
                         "w", new RelayWorkspace("w", 0, false, false, 1, 0, 0),
