--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -144,7 +144,7 @@
         metadata = context.headerCodec().readCallerHeaders(request.getHeaders());
         OperatorStateSystem.Snapshot state =
                 context.operatorState().snapshot().orElseThrow(CallerRequest::missingConfiguration);
-        RelayConfiguration configuration = state.state().configuration();
+        RelayConfiguration configuration = state.configuration();
         if (configuration == null) {
             throw missingConfiguration();
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
@@ -64,7 +64,7 @@
     public boolean isConfigurationFresh() {
         return operatorState
                 .snapshot()
-                .filter(copy -> copy.state().configuration() != null && isFresh(copy))
+                .filter(copy -> copy.configuration() != null && isFresh(copy))
                 .isPresent();
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -65,6 +65,9 @@
     static final long WAIT_SECONDS = 20;
     static final int MAX_BODY_MEMORY_BYTES = 64_000_000;
 
+    private static final Map<String, String> KEYS =
+            Map.of("secret", "w", "other-secret", "w2", "limited-secret", "limited");
+
     static final String EVENT_STREAM = "content-type: text/event-stream;charset=utf-8\r\n";
 
     final Closer closer = new Closer();
@@ -296,7 +299,11 @@
     }
 
     void configure() {
-        publish(configuration(1, Map.of("secret", "w", "other-secret", "w2", "limited-secret", "limited")));
+        configure(defaultRoutes());
+    }
+
+    void configure(List<RelayRoute> routes) {
+        publish(configuration(1, routes, KEYS));
         operators.tick();
         control.runAll();
     }
@@ -305,16 +312,25 @@
         store.publish(new OperatorState(0, configuration, Map.of()));
     }
 
+    private static List<RelayRoute> defaultRoutes() {
+        return List.of(
+                route("/once/", RouteKind.ONCE, false),
+                route("/safe/", RouteKind.IDEMPOTENT, false),
+                route("/stream/", RouteKind.STREAM, false),
+                resumableStream("/resumable/"),
+                route("/open/", RouteKind.IDEMPOTENT, true),
+                route("other.example", "/once/", RouteKind.ONCE, false));
+    }
+
     static RelayConfiguration configuration(long version, Map<String, String> workspaceByKey) {
+        return configuration(version, defaultRoutes(), workspaceByKey);
+    }
+
+    private static RelayConfiguration configuration(
+            long version, List<RelayRoute> routes, Map<String, String> workspaceByKey) {
         return new RelayConfiguration(
                 version,
-                List.of(
-                        route("/once/", RouteKind.ONCE, false),
-                        route("/safe/", RouteKind.IDEMPOTENT, false),
-                        route("/stream/", RouteKind.STREAM, false),
-                        resumableStream("/resumable/"),
-                        route("/open/", RouteKind.IDEMPOTENT, true),
-                        route("other.example", "/once/", RouteKind.ONCE, false)),
+                routes,
                 Map.of("apps", new PoolSpec("apps", 0, null)),
                 Map.of(
                         "w", new RelayWorkspace("w", 0, false, false, 1, 0, 0),
