Select the route by the path as it was sent

Cause: the relay selected the route by Jetty's canonical path, with dot segments, path parameters and percent-encoding resolved, and forwarded the raw one. Change: both use the path of the request line.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -148,8 +148,7 @@
         if (configuration == null) {
             throw missingConfiguration();
         }
-        RelayRoute matchedRoute =
-                configuration.route(host(), Request.getPathInContext(request)).orElseThrow(() -> unknownRoute(state));
+        RelayRoute matchedRoute = configuration.route(host(), path()).orElseThrow(() -> unknownRoute(state));
         route = matchedRoute;
         authenticate(state, configuration, matchedRoute);
         if (metadata.requestId() == null) {
@@ -169,6 +168,12 @@
         charge();
     }
 
+    /** Returns the path as it was sent, which is also the one that the target receives. */
+    private String path() {
+        String path = request.getHttpURI().getPath();
+        return path == null ? "" : path;
+    }
+
     private String host() {
         String authority = request.getHeaders().get(HttpHeader.HOST);
         if (authority == null) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/RequestTargetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/RequestTargetTests.java
@@ -136,4 +136,40 @@
         assertThat(send("GET " + target), startsWith("HTTP/1.1 400"));
         assertThat(receivedLine.isDone(), equalTo(false));
     }
+
+    /** Guards against a route that is selected by another spelling of the path than the one that the target receives. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "/archive/../open/7",
+                "/archive/%2e%2e/open/7",
+                "/archive/.%2E/open/7",
+                "/archive/..;a/open/7",
+                "/archive/..%2Fopen/7",
+                "/archive/./7",
+                "/archive/%6fpen",
+            })
+    void routeIsSelectedByPathAsSent(String path) throws Exception {
+        configure(List.of(route("/archive/", RouteKind.IDEMPOTENT, false)));
+        assertForwarded("GET " + path, "GET " + path);
+    }
+
+    /** Guards against the same where no prefix begins the path as sent. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "/archive/../open/7",
+                "/./open/7",
+                "/%6fpen/7",
+                "/%2e/open/7",
+                "/open;a/7",
+                "/open%2F7",
+                "//open/7",
+                "/open",
+            })
+    void pathThatNoPrefixBeginsIsRejected(String path) throws Exception {
+        configure(List.of(route("/open/", RouteKind.IDEMPOTENT, true)));
+        assertThat(send("GET " + path), startsWith("HTTP/1.1 404"));
+        assertThat(receivedLine.isDone(), equalTo(false));
+    }
 }
