Check the age of the weights again right before a request is sent

A request could begin on weights whose time had passed since its target was chosen, for instance because the VM stood still or the request waited for a connection.

Cause: the oldest version allowed was compared at the choice only. Right before the bytes go out, only the state of the target was looked up again.

Evidence: the new case in ReplacedWeightsTests lets 7 s pass after the choice (6 s are allowed). Before the fix the target received the request; now it receives none, and the caller is told that it did not run.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -307,9 +307,7 @@
         try (TargetExchange exchange = new TargetExchange(
                 context.httpClient(),
                 target.entry(),
-                () -> context.targetDirectory()
-                        .snapshot()
-                        .acceptsRequests(target.entry().incarnation()),
+                () -> mayBegin(target),
                 caller.outgoing(),
                 TargetRequestHeaders.build(context, caller, target, cache, late, timeout),
                 timeout)) {
@@ -322,6 +320,17 @@
         }
     }
 
+    /** Whether a target may still be sent the request, which may have waited for a connection since the choice. */
+    private boolean mayBegin(LiveTarget chosen) {
+        String model = caller.metadata().model();
+        return context.targetDirectory()
+                .snapshot()
+                .find(chosen.entry().incarnation())
+                .filter(LiveTarget::acceptsRequests)
+                .filter(target -> model == null || target.weightsVersion(model) >= minimumWeightsVersion())
+                .isPresent();
+    }
+
     /**
      * Estimates whether the request can meet its latency objective on the selected target. A request that cannot is
      * queued behind those that can, and one that would not start before its deadline is rejected immediately.
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -60,7 +60,7 @@
                     if (mayBegin.getAsBoolean()) {
                         requestBegun.set(true);
                     } else {
-                        abort(new IOException("the target has begun to leave"));
+                        abort(new IOException("the target may not be sent the request any more"));
                     }
                 })
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -244,10 +244,15 @@
 
     /** Registers all targets with a start time, as after a restart under the same ids. */
     void registerTargets(long bornMillis) {
+        registerTargets(bornMillis, Map.of());
+    }
+
+    /** Registers all targets with a start time and the weights that they have by model. */
+    void registerTargets(long bornMillis, Map<String, Long> weights) {
         List<TargetEntry> entries = new ArrayList<>();
         for (int i = 0; i < targetPorts.size(); i++) {
             entries.add(new TargetEntry(
-                    "t" + i, bornMillis, "apps", "127.0.0.1", targetPorts.get(i), "fd-1", 6, false, Map.of()));
+                    "t" + i, bornMillis, "apps", "127.0.0.1", targetPorts.get(i), "fd-1", 6, false, weights));
         }
         directory.update(entries, clock.nanos(), false);
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/ReplacedWeightsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/ReplacedWeightsTests.java
@@ -2,11 +2,15 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.notNullValue;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.ContentResponse;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -60,4 +64,18 @@
         requestModel("2");
         assertReplacedWeights("0");
     }
+
+    /** Guards against a request that is sent on weights whose time has passed since its target was chosen. */
+    @Test
+    void requestIsNotSentOnWeightsThatBecameTooOldAfterItsTargetWasChosen() throws Exception {
+        registerTargets(1, Map.of("m", 1L));
+        headerCodec.onTargetChosen(target -> clock.advance(Duration.ofSeconds(7)));
+        ContentResponse response = request("/once/x")
+                .headers(headers -> headers.put("t-model", "m"))
+                .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .send();
+        assertThat(receivedRequests, empty());
+        assertThat(response.getStatus(), equalTo(503));
+        assertThat(response.getHeaders().get("retry-after"), notNullValue());
+    }
 }
