--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.PublishedWeights;
 import dev.bluebellshunt.relay.store.RegisteredTargets;
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedRecord;
@@ -23,6 +24,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -56,6 +58,9 @@
     /** Probability with which a message is lost, arrives twice, or is delayed by up to two seconds. */
     double disturbance;
 
+    /** The maximum time for which each page of a read of the store is under way in either direction. */
+    Duration maxStoreDelay = Duration.ZERO;
+
     private record Event(long atNanos, Runnable action) {}
 
     SimulatedFleet(int size, long seed) {
@@ -270,19 +275,55 @@
                     : call.get();
         }
 
+        @SuppressWarnings("FutureReturnValueIgnored") // the response reports the failure
+        private <T> CompletableFuture<T> delayed(Supplier<CompletableFuture<T>> call) {
+            if (refuses || maxStoreDelay.isZero()) {
+                return call(call);
+            }
+            CompletableFuture<T> response = new CompletableFuture<>();
+            schedule(
+                    storeDelay(),
+                    () -> call(call)
+                            .whenComplete((result, failure) -> schedule(storeDelay(), () -> {
+                                if (failure == null) {
+                                    response.complete(result);
+                                } else {
+                                    response.completeExceptionally(failure);
+                                }
+                            })));
+            return response;
+        }
+
+        private Duration storeDelay() {
+            return Duration.ofMillis(random.nextInt(1 + (int) maxStoreDelay.toMillis()));
+        }
+
+        /** Reads each model on a page of its own. The pages are no snapshot, and the revision is that of the first. */
         @Override
         public CompletableFuture<OperatorState> readOperatorState() {
-            return call(store::readOperatorState);
+            if (maxStoreDelay.isZero()) {
+                return call(store::readOperatorState);
+            }
+            return delayed(store::readOperatorState)
+                    .thenCompose(first -> delayed(store::readOperatorState).thenApply(second -> {
+                        Map<String, List<PublishedWeights>> weights = new HashMap<>(second.weights());
+                        first.weights().keySet().stream()
+                                .sorted()
+                                .findFirst()
+                                .ifPresent(model ->
+                                        weights.put(model, first.weights().get(model)));
+                        return new OperatorState(first.revision(), first.configuration(), weights);
+                    }));
         }
 
         @Override
         public CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait) {
-            return call(() -> store.awaitOperatorChange(afterRevision, wait));
+            return delayed(() -> store.awaitOperatorChange(afterRevision, wait));
         }
 
         @Override
         public CompletableFuture<RegisteredTargets> readTargets() {
-            return call(store::readTargets);
+            return delayed(store::readTargets);
         }
 
         @Override
