Test that a publication soon after an outage of the store is dated closely

All VMs of fleets of 6, 24 and 60 date a version that is published 0.5 s after an outage of 10 s at most 2 s before its publication, so that they do not reject requests long before they have to.

--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/WeightsInvariantFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/WeightsInvariantFleetTests.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThan;
 
 import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
@@ -25,6 +26,9 @@
     /** Longer than any deadline for new weights, and shorter than the retention of superseded versions. */
     private static final Duration CHECKED_PAST = Duration.ofSeconds(20);
 
+    /** Stated in {@link OperatorStateSystem} for a VM that reads the targets regularly. */
+    private static final Duration MAX_UNCERTAINTY = Duration.ofSeconds(2);
+
     private SimulatedFleet fleet = new SimulatedFleet(0, 0);
     private final Map<String, TreeMap<Long, Long>> publishedVersions = new HashMap<>();
     private final Map<Integer, Long> pauseEnds = new HashMap<>();
@@ -37,11 +41,12 @@
         restartTimes.clear();
     }
 
-    private void publish(String model) {
+    private long publish(String model) {
         TreeMap<Long, Long> versions = publishedVersions.computeIfAbsent(model, m -> new TreeMap<>());
         long version = versions.isEmpty() ? 1 : versions.lastEntry().getValue() + 1 + fleet.random.nextInt(2);
         versions.put(fleet.clock.nanos(), version);
         fleet.store.publishWeights(model, version);
+        return version;
     }
 
     private void disturb() {
@@ -142,4 +147,34 @@
             }
         }
     }
+
+    /** Guards against VMs that reject requests for weights that were published soon after an outage of the store. */
+    @Test
+    void publicationSoonAfterAnOutageIsDatedCloselyByAllVms() {
+        for (int size : new int[] {6, 24, 60}) {
+            for (int seed = 0; seed < 5; seed++) {
+                clear();
+                fleet = new SimulatedFleet(size, seed);
+                publish("m");
+                fleet.run(Duration.ofSeconds(15));
+                fleet.store.setMode(FakeSharedStore.Mode.UNAVAILABLE);
+                fleet.run(Duration.ofSeconds(10));
+                fleet.store.setMode(FakeSharedStore.Mode.AVAILABLE);
+                fleet.run(Duration.ofMillis(500));
+                long publishedNanos = fleet.clock.nanos();
+                long version = publish("m");
+                for (int step = 0; step < 200; step++) {
+                    fleet.step();
+                    for (SimulatedFleet.Vm vm : fleet.vms) {
+                        DesiredWeights desired = vm.operators.weights().get("m");
+                        assertThat(
+                                vm.name + " in a fleet of " + size + " with seed " + seed + " at step " + step
+                                        + " knows " + desired + ", published at " + publishedNanos,
+                                desired == null ? 0 : desired.asOf(publishedNanos - MAX_UNCERTAINTY.toNanos()),
+                                lessThan(version));
+                    }
+                }
+            }
+        }
+    }
 }
