Admit nothing after a pause in which the others have taken the share

What callers saw: nothing yet; a test of the fleet shows it. After a VM had stood still for 7 s or more, a workspace got more than its limit: up to 1,202,000 units in a window of a fleet of two, and 1,090,000 in one of six, with a limit of 900,000 and 10 % allowed on top (QUOTA).

Cause: the record of a VM that stands still expires, and the others take its share. When it resumes, it counted them as silent and spent its old share, until it had heard from them. The others report to it again only once they have read its new record. Reports that had waited in buffers looked new, and told of a time when the others had admitted little.

Change: the control thread extends a deadline of 5 s, which is shorter than the rest of a record's lifetime before its renewal. If it has passed, the VM admits nothing under limits until it has heard from its hub or, as a hub, from all others, and not before buffered reports have expired (2 s). The wait for VMs that remain silent ends 13 s after the first report or the renewal of its record: by then the others reserve its share again, and what they admitted before has left the window. Until then it tells its members that everything is reserved. A VM whose record expires while it runs goes on, so an outage of the store changes nothing.

--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -110,6 +110,7 @@
 
     @Override
     public void tick() {
+        limits.recordRunning();
         if (callInFlight || !interval.isDue()) {
             return;
         }
@@ -147,6 +148,7 @@
 
     private void exchange() {
         updateDemand();
+        long askedNanos = clock.nanos();
         long previousLease = lease;
         boolean demandDue = nextDemand.hasPassed(clock) && hasDemandChanged();
         VmRecord ownRecord = demandDue || previousLease == SharedStore.NO_LEASE
@@ -159,7 +161,7 @@
                                 .thenApply(done -> leaseId))
                 .thenCompose(leaseId ->
                         store.readRecords(KEY_PREFIX).thenApply(records -> new ExchangeResult(leaseId, records)));
-        control.onCompletion(exchange, result -> onExchanged(result, ownRecord), this::onFailure);
+        control.onCompletion(exchange, result -> onExchanged(result, ownRecord, askedNanos), this::onFailure);
     }
 
     private CompletableFuture<Long> ensureLease() {
@@ -201,7 +203,7 @@
                         (before, next) -> before + DEMAND_SMOOTHING_FACTOR * (next - before)));
     }
 
-    private void onExchanged(ExchangeResult result, VmRecord ownRecord) {
+    private void onExchanged(ExchangeResult result, VmRecord ownRecord, long askedNanos) {
         callInFlight = false;
         boolean renewedOnly = result.lease() == lease && ownRecord.equals(publishedRecord);
         // An earlier write that was executed late may have attached the record to a lease that has expired since.
@@ -227,6 +229,9 @@
         }
         topology.update(current);
         operators.configuration().ifPresent(configuration -> limits.updateShares(configuration, vm, demands));
+        if (demands.containsKey(vm)) {
+            limits.recordRegistration(askedNanos);
+        }
     }
 
     private boolean containsOwn(List<SharedRecord> records) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -22,6 +22,7 @@
  * reporting may still be serving callers, so its share of the limit stays reserved. Shares are proportional to
  * the demand that the VMs publish, with a minimum for a VM without demand. All VMs compute them from the same
  * records, so the shares add up to the limit, and VMs that can't reach each other still stay within it together.
+ * A VM that has stood still for so long that the others may have taken its share waits until it has heard from them.
  */
 public final class FleetLimits {
 
@@ -35,6 +36,7 @@
     private final RetryBounds bounds;
     private final Duration quotaWindow;
     private final PeerReportTable peers;
+    private final PauseGuard pauseGuard;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Deadline retrySharingStart;
     private final Map<String, PoolRetries> retriesByPool = new ConcurrentHashMap<>();
@@ -80,6 +82,7 @@
         this.bounds = bounds;
         this.quotaWindow = quotaWindow;
         this.peers = peers;
+        this.pauseGuard = new PauseGuard(clock, quotaWindow);
         this.retrySharingStart = Deadline.after(clock, bounds.window());
     }
 
@@ -110,6 +113,22 @@
         retriesByPool.values().forEach(pool -> pool.resize(vmCount));
     }
 
+    /** Records that the control thread runs. A long time between two calls means that this VM has stood still. */
+    public void recordRunning() {
+        pauseGuard.recordRunning(
+                peers.admissions(),
+                peerShares.values().stream().map(Map::keySet).toList());
+    }
+
+    /**
+     * Records that the store holds the record of this VM, so that the others reserve its share.
+     *
+     * @param askedNanos when the store was asked
+     */
+    public void recordRegistration(long askedNanos) {
+        pauseGuard.recordRegistration(askedNanos);
+    }
+
     /**
      * Restores the demand that this VM published before a restart, so that its earlier admissions still count.
      *
@@ -152,7 +171,12 @@
      * @return zero if the request was admitted, otherwise the time to wait before it is retried
      */
     public Duration admit(RelayWorkspace workspace, double cost) {
-        return workspace.isLimited() ? quota(workspace.name()).admit(cost, peerUsage(workspace)) : Duration.ZERO;
+        if (!workspace.isLimited()) {
+            return Duration.ZERO;
+        }
+        return pauseGuard.mustWait()
+                ? PauseGuard.BUFFERED_REPORTS_TIME
+                : quota(workspace.name()).admit(cost, peerUsage(workspace));
     }
 
     /** Returns the peers' usage of a workspace's limit within the window, and what it leaves to this VM. */
@@ -222,13 +246,19 @@
     }
 
     /**
-     * Returns what this VM has reserved for VMs that do not report, for the members of its group.
+     * Returns what this VM has reserved for VMs that do not report, for the members of its group. Until a VM that has
+     * stood still has heard from the others, that is the whole of each limit.
      *
      * @return the reservations of all limited workspaces
      */
     public PeerAdmissions.HubReservations hubReservations() {
         PeerAdmissions current = peers.admissions();
         Map<String, Double> units = new HashMap<>();
+        if (pauseGuard.mustWait()) {
+            peerShares.forEach((workspace, shares) -> units.put(
+                    workspace, shares.values().stream().reduce(quota(workspace).share(), Double::sum)));
+            return new PeerAdmissions.HubReservations(units, silentVms(current));
+        }
         reservations(current).byWorkspace().forEach((workspace, reservation) -> {
             if (reservation.units() > 0) {
                 units.put(workspace, reservation.units());
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
@@ -222,6 +222,42 @@
         assertThat(admitted(), lessThanOrEqualTo(LIMIT / 3));
     }
 
+    /** Guards against a VM that resumes after its record has expired, and spends a share that the others use by then. */
+    @Test
+    void vmThatResumesAfterItsRecordHasExpiredAdmitsNothing() {
+        startFleet(2);
+        exchangeReports();
+        fleet.getFirst().limits.recordRunning();
+        clock.advance(Duration.ofSeconds(10));
+        fleet.getFirst().peers.expireReports();
+        fleet.getFirst().limits.updateShares(configuration, "vm-0", Map.of("vm-0", Map.of()));
+        for (int i = 0; i < 200; i++) {
+            fleet.getFirst().send(1_000);
+        }
+        for (int i = 0; i < 200; i++) {
+            fleet.get(1).send(1_000);
+        }
+        assertThat(admitted(), lessThanOrEqualTo(LIMIT * 1.1));
+    }
+
+    /** Guards against members that spend what the others use, because their hub has just resumed and knows nothing. */
+    @Test
+    void hubThatResumesReservesTheWholeLimitUntilItHasHeardFromTheOthers() {
+        startFleet(3);
+        Vm hub = fleet.getFirst();
+        hub.limits.recordRunning();
+        clock.advance(Duration.ofSeconds(10));
+        hub.limits.recordRunning();
+        assertThat(hub.limits.hubReservations().units().getOrDefault(workspace.name(), 0.0), closeTo(LIMIT, 1));
+        clock.advance(PauseGuard.BUFFERED_REPORTS_TIME);
+        sendReportsFrom(List.of(1));
+        hub.limits.recordRunning();
+        assertThat(hub.limits.hubReservations().units().getOrDefault(workspace.name(), 0.0), closeTo(LIMIT, 1));
+        sendReportsFrom(List.of(1, 2));
+        hub.limits.recordRunning();
+        assertThat(hub.limits.hubReservations().units(), equalTo(Map.of()));
+    }
+
     @Test
     void reportingFleetStaysWithinTheLimitUnderOverload() {
         startFleet(6);
