Log and count from where a VM learns of configurations

A VM that has stopped watching the store said so nowhere, so a copy that is kept up to date could not be told from one that waits for a hub that does not exist. No logic is changed.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -11,6 +11,7 @@
 import dev.bluebellshunt.relay.cache.PromptCacheStoreSystem;
 import dev.bluebellshunt.relay.fleet.CurrentTopology;
 import dev.bluebellshunt.relay.fleet.FleetSystem;
+import dev.bluebellshunt.relay.fleet.FleetTopology;
 import dev.bluebellshunt.relay.limit.FleetLimits;
 import dev.bluebellshunt.relay.model.CallerLimits;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
@@ -252,6 +253,12 @@
         JitteredTimer housekeeping = new JitteredTimer(clock, random, HOUSEKEEPING_INTERVAL);
         control.add(() -> {
             if (housekeeping.isDue()) {
+                FleetTopology place = topology.topology();
+                context.metrics()
+                        .source(
+                                operators.isReadingStore(),
+                                place.isHub(),
+                                place.hubAddresses().size());
                 runHousekeeping();
             }
         });
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -231,10 +231,14 @@
         }
         hubBackoffs.values().removeIf(backoff -> backoff.hasPassed(clock));
         if (!hubs.contains(currentHub) || hubBackoffs.containsKey(currentHub)) {
-            currentHub = hubs.stream()
+            String nextHub = hubs.stream()
                     .filter(address -> !hubBackoffs.containsKey(address))
                     .findFirst()
                     .orElse("");
+            if (!nextHub.equals(currentHub)) {
+                log.info("Reports go to the hub at {}.", nextHub.isEmpty() ? "no address" : nextHub);
+            }
+            currentHub = nextHub;
         }
         if (currentHub.isEmpty() || pendingAddresses.contains(currentHub)) {
             return;
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -61,10 +61,11 @@
     private final BooleanSupplier mayFollowPeer;
     private final RevisionTimes revisionTimes;
     private final Map<String, DesiredWeights> weights = new HashMap<>();
-    private boolean callInFlight;
+    private volatile boolean callInFlight;
     private boolean fullReadNeeded = true;
     private boolean reachable = true;
     private boolean initialized;
+    private boolean following;
     private long revision;
     private Deadline nextCall;
     private Deadline publicationQueryEnd;
@@ -117,6 +118,13 @@
         if (callInFlight || !nextCall.hasPassed(clock) || followsPeer()) {
             return;
         }
+        if (following) {
+            following = false;
+            log.info(
+                    "No other VM reads the operators' state for this one; watching the store, revision {}, {} ms old.",
+                    revision,
+                    age().toMillis());
+        }
         call();
     }
 
@@ -144,7 +152,10 @@
         update(state, sentNanos, fullRead);
         if (!followsPeer()) {
             call();
+            return;
         }
+        following = true;
+        log.info("Another VM reads the operators' state for this one, which has stopped watching at {}.", revision);
     }
 
     private void update(OperatorState state, long sentNanos, boolean fullRead) {
@@ -285,6 +296,15 @@
         return weightsSnapshot;
     }
 
+    /**
+     * Returns whether this VM has a call to the store in flight that reads the operators' state.
+     *
+     * @return false while another VM reads it for this one, and between two attempts
+     */
+    public boolean isReadingStore() {
+        return callInFlight;
+    }
+
     /**
      * Returns the maximum age of the local copy.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -64,6 +64,18 @@
             .name("bluebellshunt_relay_configuration_age_seconds")
             .help("How old the knowledge of the configuration may be.")
             .register(registry);
+    private final Gauge readsOperatorState = Gauge.builder()
+            .name("bluebellshunt_relay_reads_operator_state")
+            .help("1 if a call to the store for the operators' state is in flight, 0 if another VM reads it.")
+            .register(registry);
+    private final Gauge hub = Gauge.builder()
+            .name("bluebellshunt_relay_hub")
+            .help("1 if this VM is a hub.")
+            .register(registry);
+    private final Gauge otherHubs = Gauge.builder()
+            .name("bluebellshunt_relay_other_hubs")
+            .help("The other hubs that this VM knows.")
+            .register(registry);
     private final Gauge bodyBytes = Gauge.builder()
             .name("bluebellshunt_relay_body_bytes")
             .help("Memory for the bodies of open requests and their responses.")
@@ -145,6 +157,19 @@
         configurationAge.set(ageSeconds);
     }
 
+    /**
+     * Records from where this VM learns of changes.
+     *
+     * @param readsStore whether it has a call to the store for the operators' state in flight
+     * @param isHub whether it is a hub
+     * @param hubs the number of other hubs that it knows
+     */
+    public void source(boolean readsStore, boolean isHub, int hubs) {
+        readsOperatorState.set(readsStore ? 1 : 0);
+        hub.set(isHub ? 1 : 0);
+        otherHubs.set(hubs);
+    }
+
     /**
      * Records the memory for bodies that is in use.
      *
