Show configurations that are in force too late after an outage of the store

A simulated fleet in which records of VMs expire in an outage, and one in which VMs also stand still, restart and are cut off from the store; listings of records are up to 3 s old. Each VM that has run and reached the store for 3 s must know what was published 2 s ago.

A watch whose response does not reach its VM now fails at its timeout in the simulated fleet; before, it was never lost.

--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -22,6 +22,7 @@
 import dev.bluebellshunt.relay.target.TargetListSystem;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -44,6 +45,7 @@
 
     static final FleetLimits.RetryBounds RETRIES = new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 230);
     private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_400);
+    private static final Duration STORE_CALL_TIMEOUT = Duration.ofMillis(800);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
     private static final int DOMAINS = 3;
 
@@ -52,12 +54,16 @@
     final Random random;
     final List<Vm> vms = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atNanos));
+    private final ArrayDeque<List<SharedRecord>> pastRecords = new ArrayDeque<>();
     private long nextWatchTimeout;
     private long processes;
 
     /** Probability with which a message is lost, arrives twice, or is delayed by up to two seconds. */
     double disturbance;
 
+    /** The maximum age of a listing of records. */
+    Duration maxListingAge = Duration.ZERO;
+
     /** The maximum time for which each page of a read of the store is under way in either direction. */
     Duration maxStoreDelay = Duration.ZERO;
 
@@ -231,9 +237,29 @@
         events.add(new Event(clock.nanos() + delay.toNanos(), action));
     }
 
+    /** Returns the records as of some time up to the maximum age of a listing. */
+    private CompletableFuture<List<SharedRecord>> pastListing(String prefix) {
+        List<List<SharedRecord>> past = List.copyOf(pastRecords);
+        List<SharedRecord> listing = past.get(random.nextInt(past.size()));
+        return CompletableFuture.completedFuture(listing.stream()
+                .filter(sharedRecord -> sharedRecord.key().startsWith(prefix))
+                .toList());
+    }
+
+    private void keepRecords() {
+        if (maxListingAge.isZero()) {
+            return;
+        }
+        pastRecords.add(store.readRecords("").join());
+        while (pastRecords.size() > 1 + maxListingAge.toMillis() / STEP.toMillis()) {
+            pastRecords.remove();
+        }
+    }
+
     /** Advances the time by one step. */
     void step() {
         clock.advance(STEP);
+        keepRecords();
         while (!events.isEmpty() && events.peek().atNanos() <= clock.nanos()) {
             events.poll().action().run();
         }
@@ -316,9 +342,22 @@
                     }));
         }
 
+        /** A watch whose response can't reach this VM fails at its timeout. */
         @Override
+        @SuppressWarnings("FutureReturnValueIgnored") // the response reports the failure
         public CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait) {
-            return delayed(() -> store.awaitOperatorChange(afterRevision, wait));
+            CompletableFuture<OperatorState> response = new CompletableFuture<>();
+            schedule(
+                    wait.plus(STORE_CALL_TIMEOUT),
+                    () -> response.completeExceptionally(new IllegalStateException("timeout")));
+            delayed(() -> store.awaitOperatorChange(afterRevision, wait)).whenComplete((state, failure) -> {
+                if (failure != null) {
+                    response.completeExceptionally(failure);
+                } else if (!refuses) {
+                    response.complete(state);
+                }
+            });
+            return response;
         }
 
         @Override
@@ -328,7 +367,7 @@
 
         @Override
         public CompletableFuture<List<SharedRecord>> readRecords(String prefix) {
-            return call(() -> store.readRecords(prefix));
+            return call(() -> maxListingAge.isZero() ? store.readRecords(prefix) : pastListing(prefix));
         }
 
         @Override
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -180,6 +180,12 @@
         return read(() -> new RegisteredTargets(revision, targets));
     }
 
+    /** Lets all leases expire, with the records attached to them. */
+    public synchronized void lapseLeases() {
+        leases.clear();
+        expireLeases();
+    }
+
     /** Returns the number of reads of all records with a prefix. */
     public synchronized int recordReads(String prefix) {
         return recordReads.getOrDefault(prefix, 0);
