Stop watching the store only while a hub serves this VM

Callers got 404 and 401 more than 2 s after the acknowledgement of the configuration that has their route or key, after an outage of the store in which the records of VMs expired.

Cause: a VM left its watch of the operators' state, for up to 3.2 s, and the listing of targets, as soon as it was no hub by the listing of VMs. That listing is empty or short right after such an outage, so all VMs took themselves for members of groups, and no hub served any of them. Class: the absence of something in a listing taken for evidence of something else.

A VM now leaves the stores to a hub only while a hub has served it within the lifetime of a report (1.2 s), counted from its question. What a VM knows of itself can't make it stop.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -135,10 +135,10 @@
         this.clock = clock;
         RandomGenerator random = RandomGenerator.getDefault();
         ControlLoop control = closer.add(new ControlLoop());
-        CurrentTopology topology = new CurrentTopology();
+        CurrentTopology topology = new CurrentTopology(clock);
         RevisionTimes revisionTimes = new RevisionTimes();
         OperatorStateSystem operators =
-                new OperatorStateSystem(store, control, clock, topology::isMember, revisionTimes);
+                new OperatorStateSystem(store, control, clock, topology::followsHub, revisionTimes);
         CrashSuspects crashSuspects = new CrashSuspects(clock, random);
         DecisionLog decisionLog = new DecisionLog(clock);
         RelayMetrics metrics = new RelayMetrics();
@@ -176,7 +176,7 @@
                 control,
                 clock,
                 new JitteredTimer(clock, random, TARGET_INTERVAL),
-                topology::isMember,
+                topology::followsHub,
                 settings.leavingTime().multipliedBy(3).dividedBy(4),
                 revisionTimes);
         control.add(targetList);
@@ -249,7 +249,7 @@
                 settings.vm());
         control.add(peerSystem);
         control.add(new PromptCacheStoreSystem(
-                cacheStores, cacheStoreIndex, operators, control, clock, peerSystem::followsHub));
+                cacheStores, cacheStoreIndex, operators, control, clock, topology::followsHub));
         JitteredTimer housekeeping = new JitteredTimer(clock, random, HOUSEKEEPING_INTERVAL);
         control.add(() -> {
             if (housekeeping.isDue()) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/CurrentTopology.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/CurrentTopology.java
@@ -1,9 +1,24 @@
 package dev.bluebellshunt.relay.fleet;
 
-/** The current place of this VM in the exchange of reports. Thread-safe. */
+import dev.bluebellshunt.core.time.Deadline;
+import dev.bluebellshunt.core.time.MonotonicClock;
+
+/** The current place of this VM in the exchange of reports, and whether a hub serves it there. Thread-safe. */
 public final class CurrentTopology {
 
+    private final MonotonicClock clock;
     private volatile FleetTopology topology = FleetTopology.EMPTY;
+    private volatile Deadline hubServiceEnd;
+
+    /**
+     * Creates the place of a VM that no hub serves.
+     *
+     * @param clock a clock that includes the time for which the VM is suspended
+     */
+    public CurrentTopology(MonotonicClock clock) {
+        this.clock = clock;
+        this.hubServiceEnd = new Deadline(clock.nanos());
+    }
 
     /**
      * Returns the place of this VM as of the last exchange of VM records.
@@ -24,12 +39,22 @@
     }
 
     /**
-     * Returns whether this VM is no hub, so that a hub reads for it what it needs from the stores.
+     * Returns whether a hub reads for this VM what it needs from the stores. A VM that is no hub reads the stores itself
+     * until a hub has served it, and again when that hub falls silent.
+     *
+     * @return true if this VM is no hub and a hub has served it recently
+     */
+    public boolean followsHub() {
+        return !topology.isHub() && !hubServiceEnd.hasPassed(clock);
+    }
+
+    /**
+     * Records that a hub has served this VM.
      *
-     * @return true before the first exchange of VM records
+     * @param end the time until which that counts
      */
-    public boolean isMember() {
-        return !topology.isHub();
+    public void recordHubService(Deadline end) {
+        hubServiceEnd = end;
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -31,7 +31,7 @@
 /**
  * Periodically exchanges reports with the other VMs: as a hub with all other hubs, otherwise with one hub.
  *
- * <p>Confined to the control thread, except for {@link #followsHub()}.
+ * <p>Confined to the control thread.
  */
 public final class PeerSystem implements ControlSystem {
 
@@ -82,13 +82,12 @@
     private String hubProcess = "";
     private long hubPrefixes;
     private long hubCacheStoreChanges;
-    private volatile Deadline hubAnswerExpiry;
 
     /**
      * Creates a system.
      *
      * @param client sends the reports
-     * @param currentTopology provides the place of this VM in the exchange
+     * @param currentTopology provides the place of this VM in the exchange; receives whether a hub serves it
      * @param directory provides this VM's load on each target
      * @param targetList receives the targets that a hub has read
      * @param operators receives the operators' state that a hub has read
@@ -138,7 +137,6 @@
         this.interval = interval;
         this.vm = vm;
         this.hubReady = new Deadline(clock.nanos());
-        this.hubAnswerExpiry = hubReady;
     }
 
     @Override
@@ -162,11 +160,6 @@
         }
     }
 
-    /** Returns whether a hub tells this VM what it reads from the stores. Thread-safe. */
-    public boolean followsHub() {
-        return !hubAnswerExpiry.hasPassed(clock);
-    }
-
     private PeerReport ownReport() {
         return new PeerReport(
                 vm,
@@ -314,6 +307,6 @@
             hubCacheStoreChanges = reply.cacheStore().next();
             cacheStoreIndex.copy(reply.cacheStore());
         }
-        hubAnswerExpiry = new Deadline(askedNanos + PeerReportTable.REPORT_TTL.toNanos());
+        currentTopology.recordHubService(new Deadline(askedNanos + PeerReportTable.REPORT_TTL.toNanos()));
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -94,8 +94,8 @@
      * @param store the shared store
      * @param control the control thread
      * @param clock a clock that includes the time for which the VM is suspended
-     * @param mayFollowPeer whether another VM watches the store for this one, so that this VM calls the store only
-     *     when the local copy is older than {@link #MAX_PEER_AGE}
+     * @param mayFollowPeer whether another VM has recently shown that it watches the store for this one, so that this VM
+     *     calls the store only when the local copy is older than {@link #MAX_PEER_AGE}
      * @param revisionTimes when this VM read the store, to date publications
      */
     public OperatorStateSystem(
--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
@@ -28,7 +28,7 @@
     private final ManualClock clock = new ManualClock();
     private final ManualControlExecutor control = new ManualControlExecutor();
     private final FakeSharedStore store = new FakeSharedStore(clock);
-    private final CurrentTopology topology = new CurrentTopology();
+    private final CurrentTopology topology = new CurrentTopology(clock);
 
     private void put(String vm, String value) {
         store.putRecord(FleetSystem.KEY_PREFIX + vm, value, FakeSharedStore.NO_LEASE)
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
@@ -292,7 +292,7 @@
     }
 
     private boolean allFollowHubs() {
-        return runningVms().stream().allMatch(vm -> vm.topology.isHub() || vm.peerSystem.followsHub());
+        return runningVms().stream().allMatch(vm -> vm.topology.isHub() || vm.topology.followsHub());
     }
 
     /** Guards against members that wait for a hub that does not come back. */
@@ -331,7 +331,7 @@
     @Test
     void membersStayCurrentWhileStoreRefusesThem() {
         startFleet(24, 2);
-        fleet.vms.stream().filter(vm -> vm.topology.isMember()).forEach(vm -> vm.storeClient.refuses = true);
+        fleet.vms.stream().filter(vm -> !vm.topology.isHub()).forEach(vm -> vm.storeClient.refuses = true);
         publishVersion(2);
         publishTargets(5);
         fleet.run(Duration.ofSeconds(8));
@@ -380,7 +380,7 @@
     void crashesObservedInDifferentGroupsQuarantineRequestOnAllVms() {
         startFleet(24, 8);
         List<SimulatedFleet.Vm> members =
-                fleet.vms.stream().filter(vm -> vm.topology.isMember()).toList();
+                fleet.vms.stream().filter(vm -> !vm.topology.isHub()).toList();
         for (int crash = 0; crash < CrashSuspects.TARGETS_UNTIL_QUARANTINE; crash++) {
             members.get(crash).crashSuspects.recordCrash("t-" + crash, "fd-1", List.of(CRASHING_REQUEST));
             fleet.run(Duration.ofMillis(200));
@@ -421,7 +421,7 @@
     void crashesUnderPromptPartInDifferentGroupsQuarantineItOnAllVmsUntilOneCompletes() {
         startFleet(24, 11);
         List<SimulatedFleet.Vm> members =
-                fleet.vms.stream().filter(vm -> vm.topology.isMember()).toList();
+                fleet.vms.stream().filter(vm -> !vm.topology.isHub()).toList();
         for (int crash = 0; crash < PromptPartSuspects.CRASHES_UNTIL_QUARANTINE; crash++) {
             members.get(crash).crashSuspects.promptParts().recordCrash("t-" + crash, List.of("bad"), "route", crash);
             fleet.run(Duration.ofMillis(200));
@@ -443,7 +443,7 @@
     void completionsOfOtherRequestsInDifferentGroupsQuarantineKnownPromptPart() {
         startFleet(24, 13);
         List<PromptPartSuspects> members = fleet.vms.stream()
-                .filter(vm -> vm.topology.isMember())
+                .filter(vm -> !vm.topology.isHub())
                 .map(vm -> vm.crashSuspects.promptParts())
                 .limit(PromptPartSuspects.CRASHES_UNTIL_QUARANTINE)
                 .toList();
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -83,10 +83,10 @@
         final String address;
         final ManualControlExecutor control = new ManualControlExecutor();
         final RefusingStore storeClient = new RefusingStore();
-        final CurrentTopology topology = new CurrentTopology();
+        final CurrentTopology topology = new CurrentTopology(clock);
         final RevisionTimes revisionTimes = new RevisionTimes();
         final OperatorStateSystem operators =
-                new OperatorStateSystem(storeClient, control, clock, topology::isMember, revisionTimes);
+                new OperatorStateSystem(storeClient, control, clock, topology::followsHub, revisionTimes);
         final TargetDirectory directory = new TargetDirectory(clock, target -> {});
         final CrashSuspects crashSuspects = new CrashSuspects(clock, new Random(1));
         final PeerReportTable peerReports = new PeerReportTable(clock, WINDOW);
@@ -113,7 +113,7 @@
                     control,
                     clock,
                     timer(Duration.ofMillis(1_200)),
-                    topology::isMember,
+                    topology::followsHub,
                     Duration.ofMillis(2_250),
                     revisionTimes);
             receiver = new ReportReceiver(
