Follow a hub only while its own watch of the store is alive

A member of a group whose hub was cut off from the store, but still answered it, learned of configurations up to 3 s after their publication, while it could reach the store itself: callers get 404 or 401 for what has been added.

Cause: the member judged its hub by the age of the copy it got, up to 3.2 s, which bounds how long a withdrawn key lives but not how late a change is heard. Class: bounds that don't add up.

A hub says how long its watch counts as alive: until the watch's timeout and 0.6 s more. A member follows it no longer than that from its question, and idle members ask more often shortly before the end.

--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/CurrentTopology.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/CurrentTopology.java
@@ -2,6 +2,7 @@
 
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
+import java.time.Duration;
 
 /** The current place of this VM in the exchange of reports, and whether a hub serves it there. Thread-safe. */
 public final class CurrentTopology {
@@ -48,6 +49,15 @@
         return !topology.isHub() && !hubServiceEnd.hasPassed(clock);
     }
 
+    /**
+     * Returns how long the last service of a hub still counts.
+     *
+     * @return the remaining time, zero if no hub serves this VM
+     */
+    public Duration hubServiceLeft() {
+        return hubServiceEnd.remaining(clock);
+    }
+
     /**
      * Records that a hub has served this VM.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,6 +42,9 @@
     /** An idle member reports at every second tick, since its hub also tells it what has changed. */
     private static final int TICKS_PER_IDLE_MEMBER_REPORT = 2;
 
+    /** An idle member skips no report when the service of its hub ends sooner; covers the interval of its reports. */
+    private static final Duration MIN_SERVICE_LEFT = Duration.ofMillis(700);
+
     /** How long a crash is reported; several report intervals, so that a single lost report has no effect. */
     private static final Duration CRASH_REPORT_WINDOW = Duration.ofSeconds(1);
 
@@ -219,7 +223,8 @@
     }
 
     private void reportToOneHub(List<String> hubs, PeerReport own) {
-        if (skipsIdleReport(own, TICKS_PER_IDLE_MEMBER_REPORT)) {
+        boolean idle = skipsIdleReport(own, TICKS_PER_IDLE_MEMBER_REPORT);
+        if (idle && currentTopology.hubServiceLeft().compareTo(MIN_SERVICE_LEFT) > 0) {
             return;
         }
         hubBackoffs.values().removeIf(backoff -> backoff.hasPassed(clock));
@@ -294,6 +299,13 @@
         }
     }
 
+    /** A hub serves this VM for the lifetime of its reply, but no longer than its own watch of the store is alive. */
+    private void recordHubService(ReportReply.@Nullable Operators state, long askedNanos) {
+        long watchNanos = state == null ? 0 : TimeUnit.MILLISECONDS.toNanos(state.watchMillis());
+        currentTopology.recordHubService(
+                new Deadline(askedNanos + Math.min(PeerReportTable.REPORT_TTL.toNanos(), watchNanos)));
+    }
+
     private void receiveDigest(FleetDigest digest, ReportReply reply, long askedNanos) {
         peerReports.updateDigest(digest, askedNanos);
         directory.recordLoadedWeights(digest.loaded());
@@ -307,6 +319,6 @@
             hubCacheStoreChanges = reply.cacheStore().next();
             cacheStoreIndex.copy(reply.cacheStore());
         }
-        currentTopology.recordHubService(new Deadline(askedNanos + PeerReportTable.REPORT_TTL.toNanos()));
+        recordHubService(reply.operators(), askedNanos);
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
@@ -115,7 +115,8 @@
     private ReportReply.@Nullable Operators operatorState(long knownVersion) {
         return operators
                 .snapshot()
-                .map(snapshot -> ReportReply.Operators.of(snapshot, knownVersion, clock.nanos()))
+                .map(snapshot ->
+                        ReportReply.Operators.of(snapshot, operators.watchTimeLeft(), knownVersion, clock.nanos()))
                 .orElse(null);
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
@@ -5,6 +5,7 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -38,20 +39,27 @@
      * @param configuration the configuration, or null if the sender of the report has it
      * @param weights the known versions of the weights by model, oldest first
      * @param ageMillis the age of the state
+     * @param watchMillis the time for which the sender's watch of the store counts as alive; zero from older versions
      */
     public record Operators(
             long revision,
             @Nullable RelayConfiguration configuration,
             Map<String, List<PublishedVersion>> weights,
-            long ageMillis) {
+            long ageMillis,
+            long watchMillis) {
 
-        static Operators of(OperatorStateSystem.Snapshot snapshot, long knownConfiguration, long nowNanos) {
+        static Operators of(
+                OperatorStateSystem.Snapshot snapshot, Duration watchTime, long knownConfiguration, long nowNanos) {
             RelayConfiguration configuration = snapshot.configuration();
             boolean known = configuration != null && configuration.version() <= knownConfiguration;
             Map<String, List<PublishedVersion>> weights = new HashMap<>();
             snapshot.weights().forEach((model, newest) -> weights.put(model, versions(newest, nowNanos)));
             return new Operators(
-                    snapshot.revision(), known ? null : configuration, weights, age(snapshot.asOfNanos(), nowNanos));
+                    snapshot.revision(),
+                    known ? null : configuration,
+                    weights,
+                    age(snapshot.asOfNanos(), nowNanos),
+                    watchTime.toMillis());
         }
 
         private static List<PublishedVersion> versions(DesiredWeights newest, long nowNanos) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -30,7 +30,13 @@
      * Timeout of a watch. The age of the local copy is at most twice the timeout, plus a round trip. The timeout exceeds the
      * time for which a store that loses its history may delay changes before it cancels the watch.
      */
-    static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_400);
+    static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_200);
+
+    /**
+     * Time after the timeout of a watch until which it counts as alive. A VM that follows this one asks several times in it. If the
+     * watch has failed, it reads the store itself afterwards, within the time for applying a configuration.
+     */
+    static final Duration WATCH_RESPONSE_TIME = Duration.ofMillis(600);
 
     /** Delay after a failed call, to avoid calling an unavailable store in a tight loop. */
     static final Duration RETRY_DELAY = Duration.ofMillis(200);
@@ -73,6 +79,7 @@
     private volatile Map<String, DesiredWeights> weightsSnapshot = Map.of();
     private volatile long stateAsOfNanos;
     private volatile @Nullable Snapshot snapshot;
+    private volatile Deadline watchExpiry;
 
     /**
      * A copy of the state at one time.
@@ -111,6 +118,7 @@
         this.revisionTimes = revisionTimes;
         this.nextCall = new Deadline(clock.nanos());
         this.publicationQueryEnd = nextCall;
+        this.watchExpiry = nextCall;
     }
 
     @Override
@@ -151,6 +159,7 @@
         }
         update(state, sentNanos, fullRead);
         if (!followsPeer()) {
+            watchExpiry = Deadline.after(clock, WATCH_TIMEOUT.plus(WATCH_RESPONSE_TIME));
             call();
             return;
         }
@@ -296,6 +305,15 @@
         return weightsSnapshot;
     }
 
+    /**
+     * Returns the time for which the watch of this VM counts as alive: until the store has to respond to it. Thread-safe.
+     *
+     * @return the remaining time, zero if the watch is overdue or there is none
+     */
+    public Duration watchTimeLeft() {
+        return watchExpiry.remaining(clock);
+    }
+
     /**
      * Returns whether this VM has a call to the store in flight that reads the operators' state.
      *
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -44,7 +44,7 @@
     static final Duration WINDOW = Duration.ofSeconds(8);
 
     static final FleetLimits.RetryBounds RETRIES = new FleetLimits.RetryBounds(0.2, Duration.ofSeconds(10), 230);
-    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_400);
+    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration STORE_CALL_TIMEOUT = Duration.ofMillis(800);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
     private static final int DOMAINS = 3;
