Count known routers and leaving hosts although a list of VMs lacks them

A router without any contact took itself for the majority, which is what lets it go on with keys and limits, it contacted no other router any more, and a target on a VM that had been listed as leaving got requests again.

Evidence: three tests in VmListSystemTests, each red before: the time of the majority was the current time with an empty list, the set of contacted routers was empty, the target's state was LIVE.

A router that was listed counts for the majority and as a seed until it is considered terminated, unless it was listed as leaving, which ends that at once. A host that was leaving stays so until it is listed as live.

--- a/router/src/main/java/dev/bluebellshunt/router/control/VmListSystem.java
+++ b/router/src/main/java/dev/bluebellshunt/router/control/VmListSystem.java
@@ -20,13 +20,14 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * Polls the platform's VM list, and reports leaving and terminated VMs to the other control systems.
  *
  * <p>The list is eventually consistent, so a VM is considered terminated only after it has been missing from
- * the list for {@link #TERMINATION_TIMEOUT}, up to a list that was requested after that time.
+ * the list for {@link #TERMINATION_TIMEOUT}, up to a list that was requested after that time. Until then a missing
+ * router still counts for the majority and as a seed, unless it was leaving. A host that was leaving stays so until it is
+ * listed as live.
  */
 public final class VmListSystem implements ControlSystem {
 
@@ -46,6 +47,8 @@
     private final JitteredTimer timer;
     private final Map<String, Deadline> terminationDeadlines = new HashMap<>();
     private final Set<String> knownVms = new HashSet<>();
+    private final Map<String, VmEntry> routers = new HashMap<>();
+    private final Set<String> leavingHosts = new HashSet<>();
     private boolean readPending;
 
     /**
@@ -100,24 +103,27 @@
     }
 
     private void applyList(List<VmEntry> entries, long asOfNanos) {
-        targets.setHostsLeavingByList(entries.stream()
-                .filter(entry -> !entry.isRouter() && entry.isLeaving())
-                .map(VmEntry::host)
-                .collect(Collectors.toSet()));
-        Set<String> seeds = new TreeSet<>(configuredSeeds);
         Set<String> listedRouters = new HashSet<>();
+        routers.values().removeIf(VmEntry::isLeaving);
         for (VmEntry entry : entries) {
             if (entry.isRouter()) {
                 listedRouters.add(entry.vm());
-                seeds.add(entry.host() + ":" + entry.peerPort());
+                routers.put(entry.vm(), entry);
+            } else if (entry.isLeaving()) {
+                leavingHosts.add(entry.host());
+            } else {
+                leavingHosts.remove(entry.host());
             }
         }
+        targets.setHostsLeavingByList(leavingHosts);
+        routers.keySet().removeAll(updateTerminatedVms(listedRouters, asOfNanos));
+        Set<String> seeds = new TreeSet<>(configuredSeeds);
+        routers.values().forEach(router -> seeds.add(router.host() + ":" + router.peerPort()));
         gossip.setSeedAddresses(seeds);
-        members.setExpectedRouters(listedRouters.size());
-        updateTerminatedVms(listedRouters, asOfNanos);
+        members.setExpectedRouters(routers.size());
     }
 
-    private void updateTerminatedVms(Set<String> listedRouters, long asOfNanos) {
+    private Set<String> updateTerminatedVms(Set<String> listedRouters, long asOfNanos) {
         knownVms.addAll(listedRouters);
         members.all().stream().map(Member::vm).forEach(knownVms::add);
         knownVms.addAll(shares.knownHolders());
@@ -138,5 +144,6 @@
         shares.setTerminatedVms(terminated);
         knownVms.removeAll(terminated);
         knownVms.addAll(shares.knownHolders());
+        return terminated;
     }
 }
--- a/router/src/test/java/dev/bluebellshunt/router/control/VmListSystemTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/control/VmListSystemTests.java
@@ -1,6 +1,9 @@
 package dev.bluebellshunt.router.control;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
@@ -11,9 +14,12 @@
 import dev.bluebellshunt.core.member.MemberTable;
 import dev.bluebellshunt.core.member.PeerClient;
 import dev.bluebellshunt.core.model.FleetConfiguration;
+import dev.bluebellshunt.core.model.TargetKind;
+import dev.bluebellshunt.core.model.TargetSpec;
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.spread.ConfigurationPayload;
 import dev.bluebellshunt.core.spread.ConfigurationSystem;
+import dev.bluebellshunt.core.target.TargetState;
 import dev.bluebellshunt.core.target.TargetTable;
 import dev.bluebellshunt.core.testing.InMemoryKeyValueStore;
 import dev.bluebellshunt.core.testing.ManualClock;
@@ -24,6 +30,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +42,7 @@
 
     private static final VmEntry SELF = new VmEntry("vm-1", "10.0.0.1", "router", 1, "live");
     private static final VmEntry OTHER = new VmEntry("vm-2", "10.0.0.2", "router", 1, "live");
+    private static final VmEntry THIRD = new VmEntry("vm-3", "10.0.0.3", "router", 1, "live");
     private static final Duration LONGER_THAN_INTERVAL = Duration.ofSeconds(4);
 
     private final ManualClock clock = new ManualClock();
@@ -43,7 +51,8 @@
     private final Random random = new Random(1);
     private final MemberTable members = new MemberTable(clock, member("vm-1"));
     private final List<CompletableFuture<List<VmEntry>>> reads = new ArrayList<>();
-    private final PeerClient peers = new UnreachablePeers();
+    private final UnreachablePeers peers = new UnreachablePeers();
+    private final TargetTable targets = new TargetTable();
     private final ConfigurationSystem configuration = new ConfigurationSystem(
             store,
             members,
@@ -53,11 +62,13 @@
             control,
             clock,
             random);
+    private final GossipSystem gossip =
+            new GossipSystem(members, configuration, new CrashSuspects(clock, random), peers, control, clock, random);
     private final VmListSystem system = new VmListSystem(
             this::read,
             members,
-            new GossipSystem(members, configuration, new CrashSuspects(clock, random), peers, control, clock, random),
-            new TargetTable(),
+            gossip,
+            targets,
             new ShareSystem(store, members, (group, share) -> {}, control, clock, random),
             Set.of(),
             control,
@@ -65,8 +76,11 @@
             random);
 
     private static final class UnreachablePeers implements PeerClient {
+        private final List<String> contacted = new ArrayList<>();
+
         @Override
         public CompletableFuture<GossipMessage> gossip(String address, GossipMessage message) {
+            contacted.add(address);
             return CompletableFuture.failedFuture(new IOException("unreachable"));
         }
 
@@ -128,4 +142,57 @@
         answer(SELF);
         assertThat(other(), nullValue());
     }
+
+    /** Guards against a router without contact that takes itself for the majority, because a listing is empty or short. */
+    @Test
+    void shortListingDoesNotMakeLoneRouterTheMajority() {
+        ask();
+        answer(SELF, OTHER, THIRD);
+        assertThat(members.majorityHeardNanos(), equalTo(OptionalLong.empty()));
+        ask();
+        answer();
+        assertThat(members.majorityHeardNanos(), equalTo(OptionalLong.empty()));
+        ask();
+        answer(SELF);
+        assertThat(members.majorityHeardNanos(), equalTo(OptionalLong.empty()));
+        clock.advance(VmListSystem.TERMINATION_TIMEOUT);
+        ask();
+        answer(SELF);
+        assertThat(members.majorityHeardNanos(), equalTo(OptionalLong.of(clock.nanos())));
+    }
+
+    /** Guards against a router that no longer contacts the others, because a listing is empty or short. */
+    @Test
+    void shortListingDoesNotEndContactWithOtherRouters() {
+        ask();
+        answer(SELF, OTHER);
+        ask();
+        answer();
+        peers.contacted.clear();
+        for (int exchange = 0; exchange < 20; exchange++) {
+            clock.advance(LONGER_THAN_INTERVAL);
+            gossip.tick();
+        }
+        assertThat(peers.contacted, hasItem("10.0.0.2:1"));
+    }
+
+    /** Guards against requests to a target on a leaving VM, because a listing does not contain the VM any more. */
+    @Test
+    void targetOnLeavingVmStaysLeavingUntilListedAsLive() {
+        TargetSpec target =
+                new TargetSpec("t", TargetKind.APPLICATION, "10.0.0.7", 80, "fd", Set.of("s"), false, false);
+        targets.apply(new FleetConfiguration(1, Map.of(), Map.of(), Map.of("t", target), List.of(), Map.of()));
+        ask();
+        answer(SELF, new VmEntry("vm-7", "10.0.0.7", "target", 0, "leaving"));
+        assertThat(targets.views().getFirst().state(), equalTo(TargetState.LEAVING));
+        ask();
+        answer(SELF);
+        assertThat(targets.views().getFirst().state(), equalTo(TargetState.LEAVING));
+        ask();
+        answer();
+        assertThat(targets.views().getFirst().state(), equalTo(TargetState.LEAVING));
+        ask();
+        answer(SELF, new VmEntry("vm-8", "10.0.0.7", "target", 0, "live"));
+        assertThat(targets.views().getFirst().state(), not(equalTo(TargetState.LEAVING)));
+    }
 }
