--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
@@ -150,4 +150,24 @@
             assertThat("admitted with seed " + seed, admitted, greaterThan(LIMIT * 3 * 0.8));
         }
     }
+
+    /** Guards against restarted VMs that take the whole limit each, because hardly any VM has registered again. */
+    @ParameterizedTest
+    @CsvSource({"2, 3000", "6, 3000", "6, 9000", "24, 9000"})
+    void limitHoldsAfterAllVmsRestartInAnOutageInWhichRecordsExpire(int size, long outageMillis) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            startFleet(size, seed);
+            fleet.maxListingAge = Duration.ofMillis(fleet.random.nextInt(3_000));
+            fleet.run(Duration.ofSeconds(4));
+            fleet.store.lapseLeases();
+            for (int i = 0; i < size; i++) {
+                fleet.restart(i);
+                fleet.vms.get(i).storeClient.refuses = true;
+            }
+            fleet.run(Duration.ofMillis(outageMillis));
+            fleet.vms.forEach(vm -> vm.storeClient.refuses = false);
+            overload(fleet.vms, Duration.ofSeconds(24));
+            assertThat("most in a window with seed " + seed, most, lessThanOrEqualTo(LIMIT * 1.1));
+        }
+    }
 }
