Expect as many VMs as there were after a restart without any record

Cause: a restarted VM has no memory of the others, so for it an empty or short listing was the fleet.

One VM publishes the number of VMs in a record without a lease. A process that finds no record of the one before it reads that number, and until the duration of a lease has passed gives equal shares to as many VMs and reserves those of VMs that it does not know. A process that finds its record knows that records have not expired, and goes on as before.

--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +32,17 @@
     /** Prefix of the keys of VM records. */
     static final String KEY_PREFIX = "bluebellshunt/vms/";
 
+    /**
+     * Key of the number of VMs. The record has no lease, so that VMs which restart in an outage in which all VM records expire
+     * know how many others to expect.
+     */
+    static final String SIZE_KEY = "bluebellshunt/fleet-size";
+
+    private static final int UNKNOWN_SIZE = 0;
+
+    /** Several times the size of the largest fleet; a larger number is an error. */
+    private static final int MAX_EXPECTED_VMS = 10_000;
+
     /** Lifetime of a VM record after its last renewal; the VM's share of each limit is reserved until then. */
     static final Duration LEASE_DURATION = Duration.ofSeconds(9);
 
@@ -71,6 +83,10 @@
     private boolean callInFlight;
     private boolean demandRestored;
     private boolean failedSinceExchange;
+    private boolean registeredBefore;
+    private int expectedVms = UNKNOWN_SIZE;
+    private int publishedSize = UNKNOWN_SIZE;
+    private @Nullable Deadline registrationEnd;
     private long exchangedNanos;
 
     /**
@@ -126,7 +142,13 @@
         }
         callInFlight = true;
         if (!demandRestored) {
-            control.onCompletion(store.readRecords(KEY_PREFIX), this::restoreDemand, this::onFailure);
+            control.onCompletion(
+                    store.readRecords(SIZE_KEY).thenCompose(size -> {
+                        expectedVms = readSize(size);
+                        return store.readRecords(KEY_PREFIX);
+                    }),
+                    this::restoreDemand,
+                    this::onFailure);
             return;
         }
         exchange();
@@ -137,6 +159,7 @@
         demandRestored = true;
         for (SharedRecord sharedRecord : records) {
             if (sharedRecord.key().equals(KEY_PREFIX + vm)) {
+                registeredBefore = true;
                 read(sharedRecord).ifPresent(previous -> {
                     limits.restoreDemand(previous.demand());
                     demand.putAll(previous.demand());
@@ -147,6 +170,17 @@
         exchange();
     }
 
+    private static int readSize(List<SharedRecord> records) {
+        for (SharedRecord sharedRecord : records) {
+            try {
+                return Math.clamp(Long.parseLong(sharedRecord.value()), UNKNOWN_SIZE, MAX_EXPECTED_VMS);
+            } catch (NumberFormatException e) {
+                log.warn("Ignoring malformed record {}: {}", sharedRecord.key(), e.getMessage());
+            }
+        }
+        return UNKNOWN_SIZE;
+    }
+
     private static Optional<VmRecord> read(SharedRecord sharedRecord) {
         try {
             return Optional.of(Json.read(sharedRecord.value(), VmRecord.class));
@@ -256,9 +290,49 @@
                     current.hubAddresses());
         }
         topology.update(current);
-        operators
-                .configuration()
-                .ifPresent(configuration -> limits.updateShares(configuration, vm, knownVms.demands()));
+        boolean mayLackVms = mayLackVms();
+        operators.configuration().ifPresent(configuration -> {
+            if (mayLackVms) {
+                limits.updateEqualShares(configuration, vm, knownVms.demands().keySet(), expectedVms);
+            } else {
+                limits.updateShares(configuration, vm, knownVms.demands());
+            }
+        });
+        if (!mayLackVms && missing == 0) {
+            publishSize();
+        }
+    }
+
+    /**
+     * Returns whether VMs may run that no listing since the start of this process has contained. A process that finds the
+     * record of the one before it knows that records have not expired.
+     */
+    private boolean mayLackVms() {
+        if (registeredBefore) {
+            return false;
+        }
+        if (registrationEnd == null) {
+            registrationEnd = Deadline.after(clock, LEASE_DURATION);
+        }
+        return !registrationEnd.hasPassed(clock);
+    }
+
+    /** Publishes the number of VMs if it has changed, from one VM. */
+    private void publishSize() {
+        List<VmRecord> vms = knownVms.records();
+        boolean isFirst = vms.stream().allMatch(other -> other.vm().compareTo(vm) >= 0);
+        if (!isFirst) {
+            publishedSize = UNKNOWN_SIZE;
+            return;
+        }
+        int size = vms.size();
+        if (size == publishedSize || size == UNKNOWN_SIZE) {
+            return;
+        }
+        control.onCompletion(
+                store.putRecord(SIZE_KEY, Integer.toString(size), SharedStore.NO_LEASE),
+                done -> publishedSize = size,
+                failure -> log.debug("Could not publish the size of the fleet: {}", failure.toString()));
     }
 
     private boolean containsOwn(List<SharedRecord> records) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -40,8 +40,8 @@
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Deadline retrySharingStart;
     private final Map<String, PoolRetries> retriesByPool = new ConcurrentHashMap<>();
-    private volatile Map<String, Map<String, Double>> peerShares = Map.of();
-    private volatile Reservations reservations = new Reservations(PeerAdmissions.NONE, Map.of(), Map.of());
+    private volatile PeerShares peerShares = new PeerShares(Map.of(), Map.of());
+    private volatile Reservations reservations = new Reservations(PeerAdmissions.NONE, peerShares, Map.of());
     private volatile Map<String, Double> demandBeforeRestart = Map.of();
     private volatile int vmCount = 1;
 
@@ -61,8 +61,15 @@
      * @param shares the shares from which they were computed
      * @param byWorkspace the reservations
      */
-    private record Reservations(
-            PeerAdmissions basis, Map<String, Map<String, Double>> shares, Map<String, Reservation> byWorkspace) {}
+    private record Reservations(PeerAdmissions basis, PeerShares shares, Map<String, Reservation> byWorkspace) {}
+
+    /**
+     * The shares of the other VMs, by workspace.
+     *
+     * @param byVm the shares of the known VMs
+     * @param ofUnknownVm the share of each VM that is expected and not known; empty if all are known
+     */
+    private record PeerShares(Map<String, Map<String, Double>> byVm, Map<String, Double> ofUnknownVm) {}
 
     private record Reservation(double units, boolean anySilent) {
 
@@ -94,8 +101,35 @@
      * @param demands the published demand by VM and workspace, including this VM's own
      */
     public void updateShares(RelayConfiguration configuration, String ownVm, Map<String, Map<String, Double>> demands) {
-        vmCount = Math.max(1, demands.size());
+        updateShares(configuration, ownVm, demands, Math.max(1, demands.size()), false);
+    }
+
+    /**
+     * Recomputes the shares while some VMs may not have registered yet. All VMs have equal shares, and those of VMs that
+     * are not known are reserved: even if one of them reports to this VM, it does not hear what this VM admits.
+     *
+     * @param configuration the workspaces and their limits
+     * @param ownVm the name of this VM
+     * @param knownVms the VMs that are known
+     * @param expectedVms the expected number of VMs
+     */
+    public void updateEqualShares(
+            RelayConfiguration configuration, String ownVm, Set<String> knownVms, int expectedVms) {
+        Map<String, Map<String, Double>> demands = new HashMap<>();
+        knownVms.forEach(vm -> demands.put(vm, Map.of()));
+        demands.put(ownVm, Map.of());
+        updateShares(configuration, ownVm, demands, Math.max(expectedVms, demands.size()), true);
+    }
+
+    private void updateShares(
+            RelayConfiguration configuration,
+            String ownVm,
+            Map<String, Map<String, Double>> demands,
+            int vms,
+            boolean mayLackVms) {
+        vmCount = vms;
         Map<String, Map<String, Double>> newPeerShares = new HashMap<>();
+        Map<String, Double> ofUnknownVm = new HashMap<>();
         for (RelayWorkspace workspace : configuration.workspaces().values()) {
             if (!workspace.isLimited()) {
                 quotas.remove(workspace.name());
@@ -108,8 +142,11 @@
                             ownShare == null ? windowLimit(workspace) * EVEN_FRACTION / vmCount : ownShare,
                             demandBeforeRestart.getOrDefault(workspace.name(), 0.0) * windowSeconds());
             newPeerShares.put(workspace.name(), shares);
+            if (mayLackVms) {
+                ofUnknownVm.put(workspace.name(), windowLimit(workspace) / vms);
+            }
         }
-        peerShares = newPeerShares;
+        peerShares = new PeerShares(newPeerShares, ofUnknownVm);
         retriesByPool.values().forEach(pool -> pool.resize(vmCount));
     }
 
@@ -117,7 +154,7 @@
     public void recordRunning() {
         pauseGuard.recordRunning(
                 peers.admissions(),
-                peerShares.values().stream().map(Map::keySet).toList());
+                peerShares.byVm().values().stream().map(Map::keySet).toList());
     }
 
     /**
@@ -145,7 +182,7 @@
         }
         Map<String, Double> shares = new HashMap<>();
         for (Map.Entry<String, Map<String, Double>> vm : demands.entrySet()) {
-            double even = 1.0 / demands.size();
+            double even = 1.0 / vmCount;
             double share = total <= 0
                     ? even
                     : EVEN_FRACTION * even
@@ -204,12 +241,19 @@
     @SuppressWarnings("ReferenceEquality") // a change replaces the object, and comparing the contents would be slower
     private Reservations reservations(PeerAdmissions peerAdmissions) {
         Reservations current = reservations;
-        Map<String, Map<String, Double>> shares = peerShares;
+        PeerShares shares = peerShares;
         if (current.basis() == peerAdmissions && current.shares() == shares) {
             return current;
         }
         Map<String, Reservation> byWorkspace = new HashMap<>();
-        shares.forEach((workspace, byVm) -> byWorkspace.put(workspace, reserve(workspace, byVm, peerAdmissions)));
+        shares.byVm().forEach((workspace, byVm) -> {
+            Reservation known = reserve(workspace, byVm, peerAdmissions);
+            double ofUnknownVm = shares.ofUnknownVm().getOrDefault(workspace, 0.0);
+            int unknown = ofUnknownVm == 0 ? 0 : Math.max(0, vmCount - 1 - byVm.size());
+            byWorkspace.put(
+                    workspace,
+                    new Reservation(known.units() + unknown * ofUnknownVm, known.anySilent() || unknown > 0));
+        });
         Reservations computed = new Reservations(peerAdmissions, shares, byWorkspace);
         reservations = computed;
         return computed;
@@ -255,8 +299,11 @@
         PeerAdmissions current = peers.admissions();
         Map<String, Double> units = new HashMap<>();
         if (pauseGuard.mustWait()) {
-            peerShares.forEach((workspace, shares) -> units.put(
-                    workspace, shares.values().stream().reduce(quota(workspace).share(), Double::sum)));
+            peerShares
+                    .byVm()
+                    .forEach((workspace, shares) -> units.put(
+                            workspace,
+                            shares.values().stream().reduce(quota(workspace).share(), Double::sum)));
             return new PeerAdmissions.HubReservations(units, silentVms(current));
         }
         reservations(current).byWorkspace().forEach((workspace, reservation) -> {
--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -13,8 +14,10 @@
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.RevisionTimes;
+import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -103,4 +106,30 @@
         assertThat(store.readRecords(FleetSystem.KEY_PREFIX).join(), hasSize(1));
         assertThat(topology.isHub(), is(true));
     }
+
+    /** Guards against VMs that restart without any record and don't know that there are others. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a-vm", "z-vm"})
+    void sizeOfFleetIsPublishedByFirstVmAndOutlivesAllRecords(String other) {
+        put(other, Json.write(new VmRecord(other, "fd", "127.0.0.1:7", 1, Map.of())));
+        FleetSystem system = newSystem();
+        run(system, FleetSystem.LEASE_DURATION);
+        assertThat("before all VMs have registered", sizes(), hasSize(0));
+        run(system, Duration.ofSeconds(3));
+        store.lapseLeases();
+        assertThat(sizes(), equalTo(other.equals("a-vm") ? List.of() : List.of("2")));
+    }
+
+    @Test
+    void malformedSizeOfFleetIsIgnored() {
+        store.putRecord(FleetSystem.SIZE_KEY, "many", FakeSharedStore.NO_LEASE).join();
+        run(newSystem(), Duration.ofSeconds(1));
+        assertThat(topology.isHub(), is(true));
+    }
+
+    private List<String> sizes() {
+        return store.readRecords(FleetSystem.SIZE_KEY).join().stream()
+                .map(SharedRecord::value)
+                .toList();
+    }
 }
