Let the caller of RelayDaemonTests close idle connections in time

By that trace the caller used a connection at the moment at which the relay closed it, 17 s after its last use; callers may leave it idle for 15 s, and the test's caller did for 60 s. Not reproduced.

The caller keeps to the 15 s. No check is changed.

--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -100,6 +100,12 @@
         }
     }
 
+    /** A caller may not use a connection that has been idle for longer than the relay permits. */
+    @BeforeEach
+    void limitIdleTimeOfCaller() {
+        http.setIdleTimeout(CallerLimits.DEFAULT.idleTimeout().toMillis());
+    }
+
     @BeforeEach
     void publish() {
         targetPort = HttpServers.start(
