Keep the published size of the fleet in a class of its own

Structure, and one case: a process also remembers the VMs of the listing that it reads at its start, so that those which a listing just after it lacks are kept. That the first listing may be older than an outage was found by reading; the case has no test of its own. PausedVmLimitFleetTests, FleetSystemTests, FleetLimitsTests and FleetTopologyTests pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -32,17 +32,6 @@
     /** Prefix of the keys of VM records. */
     static final String KEY_PREFIX = "bluebellshunt/vms/";
 
-    /**
-     * Key of the number of VMs. The record has no lease, so that VMs which restart in an outage in which all VM records expire
-     * know how many others to expect.
-     */
-    static final String SIZE_KEY = "bluebellshunt/fleet-size";
-
-    private static final int UNKNOWN_SIZE = 0;
-
-    /** Several times the size of the largest fleet; a larger number is an error. */
-    private static final int MAX_EXPECTED_VMS = 10_000;
-
     /** Lifetime of a VM record after its last renewal; the VM's share of each limit is reserved until then. */
     static final Duration LEASE_DURATION = Duration.ofSeconds(9);
 
@@ -78,14 +67,14 @@
     private VmRecord publishedRecord;
     private final CurrentTopology topology;
     private final KnownVms knownVms;
+    private final FleetSize fleetSize;
     private Deadline nextDemand;
     private long measuredNanos;
     private boolean callInFlight;
     private boolean demandRestored;
     private boolean failedSinceExchange;
     private boolean registeredBefore;
-    private int expectedVms = UNKNOWN_SIZE;
-    private int publishedSize = UNKNOWN_SIZE;
+    private int expectedVms;
     private @Nullable Deadline registrationEnd;
     private long exchangedNanos;
 
@@ -129,6 +118,7 @@
         this.capacity = capacity;
         this.topology = topology;
         this.knownVms = new KnownVms(clock, LEASE_DURATION);
+        this.fleetSize = new FleetSize(store, control, vm);
         this.exchangedNanos = clock.nanos();
         this.nextDemand = new Deadline(clock.nanos());
         this.measuredNanos = clock.nanos();
@@ -143,21 +133,23 @@
         callInFlight = true;
         if (!demandRestored) {
             control.onCompletion(
-                    store.readRecords(SIZE_KEY).thenCompose(size -> {
-                        expectedVms = readSize(size);
-                        return store.readRecords(KEY_PREFIX);
-                    }),
-                    this::restoreDemand,
+                    store.readRecords(KEY_PREFIX).thenCombine(fleetSize.read(), PreviousFleet::new),
+                    this::restore,
                     this::onFailure);
             return;
         }
         exchange();
     }
 
-    /** Restores the demand from this VM's record, whose lease outlasts a restart and the windows of the limits. */
-    private void restoreDemand(List<SharedRecord> records) {
+    /**
+     * Restores what is known of the fleet, and the demand from this VM's record, whose lease outlasts a restart and the windows
+     * of the limits.
+     */
+    private void restore(PreviousFleet previousFleet) {
         demandRestored = true;
-        for (SharedRecord sharedRecord : records) {
+        expectedVms = previousFleet.size();
+        knownVms.update(readAll(previousFleet.records()), true);
+        for (SharedRecord sharedRecord : previousFleet.records()) {
             if (sharedRecord.key().equals(KEY_PREFIX + vm)) {
                 registeredBefore = true;
                 read(sharedRecord).ifPresent(previous -> {
@@ -170,15 +162,10 @@
         exchange();
     }
 
-    private static int readSize(List<SharedRecord> records) {
-        for (SharedRecord sharedRecord : records) {
-            try {
-                return Math.clamp(Long.parseLong(sharedRecord.value()), UNKNOWN_SIZE, MAX_EXPECTED_VMS);
-            } catch (NumberFormatException e) {
-                log.warn("Ignoring malformed record {}: {}", sharedRecord.key(), e.getMessage());
-            }
-        }
-        return UNKNOWN_SIZE;
+    private static List<VmRecord> readAll(List<SharedRecord> records) {
+        List<VmRecord> vms = new ArrayList<>();
+        records.forEach(sharedRecord -> read(sharedRecord).ifPresent(vms::add));
+        return vms;
     }
 
     private static Optional<VmRecord> read(SharedRecord sharedRecord) {
@@ -275,10 +262,7 @@
     }
 
     private void updateFleet(List<SharedRecord> sharedRecords, boolean mayHaveExpired) {
-        List<VmRecord> listed = new ArrayList<>();
-        for (SharedRecord sharedRecord : sharedRecords) {
-            read(sharedRecord).ifPresent(listed::add);
-        }
+        List<VmRecord> listed = readAll(sharedRecords);
         int missing = knownVms.update(listed, mayHaveExpired);
         FleetTopology current = FleetTopology.of(publishedRecord, knownVms.records());
         if (missing > 0 || !current.equals(topology.topology())) {
@@ -299,7 +283,7 @@
             }
         });
         if (!mayLackVms && missing == 0) {
-            publishSize();
+            fleetSize.publish(knownVms.records());
         }
     }
 
@@ -317,24 +301,6 @@
         return !registrationEnd.hasPassed(clock);
     }
 
-    /** Publishes the number of VMs if it has changed, from one VM. */
-    private void publishSize() {
-        List<VmRecord> vms = knownVms.records();
-        boolean isFirst = vms.stream().allMatch(other -> other.vm().compareTo(vm) >= 0);
-        if (!isFirst) {
-            publishedSize = UNKNOWN_SIZE;
-            return;
-        }
-        int size = vms.size();
-        if (size == publishedSize || size == UNKNOWN_SIZE) {
-            return;
-        }
-        control.onCompletion(
-                store.putRecord(SIZE_KEY, Integer.toString(size), SharedStore.NO_LEASE),
-                done -> publishedSize = size,
-                failure -> log.debug("Could not publish the size of the fleet: {}", failure.toString()));
-    }
-
     private boolean containsOwn(List<SharedRecord> records) {
         return records.stream().anyMatch(sharedRecord -> sharedRecord.key().equals(KEY_PREFIX + vm));
     }
@@ -346,6 +312,9 @@
         log.debug("Could not exchange VM records with the store: {}", failure.toString());
     }
 
+    /** The records of all VMs and the published size of the fleet, as read by a process that has just started. */
+    private record PreviousFleet(List<SharedRecord> records, int size) {}
+
     /** The lease of this VM's record, and the records of all VMs. */
     private record ExchangeResult(long lease, List<SharedRecord> records) {}
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
@@ -122,13 +122,13 @@
 
     @Test
     void malformedSizeOfFleetIsIgnored() {
-        store.putRecord(FleetSystem.SIZE_KEY, "many", FakeSharedStore.NO_LEASE).join();
+        store.putRecord(FleetSize.KEY, "many", FakeSharedStore.NO_LEASE).join();
         run(newSystem(), Duration.ofSeconds(1));
         assertThat(topology.isHub(), is(true));
     }
 
     private List<String> sizes() {
-        return store.readRecords(FleetSystem.SIZE_KEY).join().stream()
+        return store.readRecords(FleetSize.KEY).join().stream()
                 .map(SharedRecord::value)
                 .toList();
     }
