Log each change between watching the store and following a hub

The line was missing where a VM stopped to watch after a failed call, and then also when it went on.

--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -123,21 +123,23 @@
 
     @Override
     public void tick() {
-        if (callInFlight || !nextCall.hasPassed(clock) || followsPeer()) {
+        if (callInFlight || !nextCall.hasPassed(clock) || updateFollowing()) {
             return;
         }
-        if (following) {
-            following = false;
+        call();
+    }
+
+    private boolean updateFollowing() {
+        boolean followsPeer = initialized && mayFollowPeer.getAsBoolean() && age().compareTo(MAX_PEER_AGE) < 0;
+        if (followsPeer != following) {
+            following = followsPeer;
             log.info(
-                    "No other VM reads the operators' state for this one; watching the store, revision {}, {} ms old.",
+                    "This VM {}; the operators' state is known up to revision {} and {} ms old.",
+                    followsPeer ? "stops watching the store, since a hub does" : "watches the store, since no hub does",
                     revision,
                     age().toMillis());
         }
-        call();
-    }
-
-    private boolean followsPeer() {
-        return initialized && mayFollowPeer.getAsBoolean() && age().compareTo(MAX_PEER_AGE) < 0;
+        return followsPeer;
     }
 
     private void call() {
@@ -158,13 +160,11 @@
             log.info("The store answers again.");
         }
         update(state, sentNanos, fullRead);
-        if (!followsPeer()) {
-            watchExpiry = Deadline.after(clock, WATCH_TIMEOUT.plus(WATCH_RESPONSE_TIME));
-            call();
+        if (updateFollowing()) {
             return;
         }
-        following = true;
-        log.info("Another VM reads the operators' state for this one, which has stopped watching at {}.", revision);
+        watchExpiry = Deadline.after(clock, WATCH_TIMEOUT.plus(WATCH_RESPONSE_TIME));
+        call();
     }
 
     private void update(OperatorState state, long sentNanos, boolean fullRead) {
