Keep the crashes of RelayDaemonTests apart in time

Traced: two of the four crashes were less than 20 ms apart on the clock of the test, and crashes that close count as having a common cause (alone=false for the third and fourth in the report), so a fifth crash is needed. The test advances its clock only while it waits, 2 ms a poll, and did not ensure a distance. No check is changed.

--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -64,6 +64,9 @@
 
     private static final Duration ENTRY_LIFETIME = Duration.ofSeconds(3);
 
+    /** Crashes of targets that are much closer to each other count as having a common cause. */
+    private static final Duration CRASH_DISTANCE = Duration.ofMillis(100);
+
     private static final String QUARANTINES = "bluebellshunt/quarantine/";
 
     private static final String PARTS = "bluebellshunt/quarantined-parts/";
@@ -370,6 +373,7 @@
         int crash = 0;
         while (crash < PromptPartSuspects.CRASHES_UNTIL_QUARANTINE) {
             crash++;
+            nanos.addAndGet(CRASH_DISTANCE.toNanos());
             registerTarget(crash);
             awaitTarget(first, crash);
             ContentResponse sound = send(request(first, "/open/sound").headers(h -> h.put("t-parts", "first,own")));
