--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -264,7 +264,16 @@
         });
         control.start();
         this.handler = new RelayHandler(context);
-        this.callers = listen("callers", settings.callers(), RelayHandler.httpConfiguration(), handler);
+        this.callers = HttpServers.start(
+                "callers",
+                settings.callers(),
+                RelayHandler.httpConfiguration(),
+                handler,
+                new JsonErrorHandler(status -> {
+                    metrics.serverError(status);
+                    decisionLog.write("server_error", "none", "status", status);
+                }),
+                closer);
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
         this.readiness = listen(
                 "readiness", settings.readiness(), HttpServers.newConfiguration(), new ReadinessHandler(this::isReady));
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -83,6 +83,7 @@
     private final long receivedNanos;
     private final Set<String> attemptedTargets = new HashSet<>();
 
+    private int sends;
     private int possiblyExecutedAttempts;
     private int rejectedAttempts;
     private boolean retryReserved;
@@ -295,6 +296,7 @@
         attemptedTargets.add(target.entry().id());
         lastTarget = target.entry().id();
         lastTargetBornMillis = target.entry().bornMillis();
+        sends++;
         target.load().requestSent(tokens, late);
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
@@ -520,12 +522,24 @@
                         lastTargetBornMillis,
                         "reason",
                         reason,
+                        "send",
+                        sends,
+                        "connection",
+                        lastConnection(),
+                        "ms_since_send",
+                        TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - sentNanos),
                         "ms",
                         elapsedMillis(),
                         "configuration_age_ms",
                         context.operatorState().age().toMillis());
     }
 
+    /** Returns the local port of the connection of the current send, which identifies it in the log of a target too. */
+    private synchronized String lastConnection() {
+        TargetExchange sent = exchange;
+        return sent == null ? "none" : sent.localPort();
+    }
+
     private boolean forwardResponse(
             LiveTarget target, RelayRoute route, TargetExchange exchange, org.eclipse.jetty.client.Response response)
             throws IOException {
@@ -755,6 +769,8 @@
                         lastTarget,
                         "reason",
                         lastFailureReason,
+                        "sends",
+                        sends,
                         "ran",
                         possiblyExecutedAttempts,
                         "ms",
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -5,6 +5,7 @@
 import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.UnparsedTargetRequest;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -117,6 +118,14 @@
         return Optional.ofNullable(request.getConnection());
     }
 
+    /** Returns the local port of the connection on which the request was sent, or {@code none} before that. */
+    String localPort() {
+        Connection connection = request.getConnection();
+        return connection != null && connection.getLocalSocketAddress() instanceof InetSocketAddress address
+                ? Integer.toString(address.getPort())
+                : "none";
+    }
+
     /** Closes the connection, on which the response to this request may still arrive. */
     void closeConnection() {
         Connection connection = request.getConnection();
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -22,6 +22,11 @@
             .help("Requests by kind of route and result.")
             .labelNames("kind", "result")
             .register(registry);
+    private final Counter serverErrors = Counter.builder()
+            .name("bluebellshunt_relay_server_errors_total")
+            .help("Responses of the HTTP server itself by status, to requests that no handler has answered.")
+            .labelNames("status")
+            .register(registry);
     private final Counter attempts = Counter.builder()
             .name("bluebellshunt_relay_attempts_total")
             .help("Tries at targets by result.")
@@ -91,6 +96,15 @@
         requests.labelValues(kind, result).inc();
     }
 
+    /**
+     * Counts a response that the HTTP server wrote by itself.
+     *
+     * @param status its status
+     */
+    public void serverError(int status) {
+        serverErrors.labelValues(Integer.toString(status)).inc();
+    }
+
     /**
      * Counts an attempt to send a request to a target.
      *
--- a/transport/src/main/java/dev/bluebellshunt/transport/JsonErrorHandler.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonErrorHandler.java
@@ -6,6 +6,7 @@
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.error.Step;
 import java.nio.ByteBuffer;
+import java.util.function.IntConsumer;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
@@ -20,8 +21,21 @@
  */
 public final class JsonErrorHandler extends ErrorHandler {
 
+    private final IntConsumer onError;
+
     /** Creates the handler. */
-    public JsonErrorHandler() {}
+    public JsonErrorHandler() {
+        this(status -> {});
+    }
+
+    /**
+     * Creates the handler.
+     *
+     * @param onError called with the status of each response that this handler writes
+     */
+    public JsonErrorHandler(IntConsumer onError) {
+        this.onError = onError;
+    }
 
     @Override
     protected void generateResponse(
@@ -31,6 +45,7 @@
             @Nullable String message,
             @Nullable Throwable cause,
             Callback callback) {
+        onError.accept(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.write(true, ByteBuffer.wrap(ErrorBody.json(toException(status), "none")), callback);
     }
