Send a request to the same target again over a connection that has not carried it

What callers saw: 503, which promises that a request has not run, although a target had run it; or a request that may run once ran twice, with 200 for the second run. Cause: the relay knows a response by the id of the request. A request that a target rejects for its weights goes to the same target again, with the same id and on the same kept connection. A copy of the rejection, sent where the next response is expected, was taken for the answer to the second send, which the target ran. Why it works: each further send of a request to an address takes its connection from another pool (the tag of Jetty's request). The counters of the sends move from RelayCall to SendHistory.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -20,7 +20,6 @@
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -81,11 +80,8 @@
     private final CrashTracker crashes;
     private final ResponseWriter writer;
     private final long receivedNanos;
-    private final Set<String> attemptedTargets = new HashSet<>();
+    private final SendHistory history = new SendHistory();
 
-    private int sends;
-    private int possiblyExecutedAttempts;
-    private int rejectedAttempts;
     private boolean retryReserved;
     private long sentNanos;
     private boolean responseBegun;
@@ -197,7 +193,7 @@
                                 .orElse(NO_TARGET_RETRY_DELAY));
             }
             boolean wasLate = late;
-            if (possiblyExecutedAttempts == 0) {
+            if (history.possiblyExecuted() == 0) {
                 checkObjective(selection.get(), route);
             }
             if (late != wasLate) {
@@ -209,7 +205,7 @@
                             ErrorCode.NO_TARGET, "No target with recent weights is available for a late request.");
                 }
             }
-            boolean firstAttempt = possiblyExecutedAttempts + rejectedAttempts == 0;
+            boolean firstAttempt = history.possiblyExecuted() + history.rejected() == 0;
             if (!firstAttempt && !retryReserved && !context.limits().tryAcquireRetry(pool.name())) {
                 throw noResponse(ErrorCode.OVERLOADED, "The retry limit of the pool is exhausted.");
             }
@@ -217,9 +213,9 @@
             if (attempt(selection.get().target(), route)) {
                 return;
             }
-            boolean mayRetry = possiblyExecutedAttempts == 0
-                    ? rejectedAttempts < MAX_REJECTED_ATTEMPTS
-                    : mayRepeat(route, possiblyExecutedAttempts);
+            boolean mayRetry = history.possiblyExecuted() == 0
+                    ? history.rejected() < MAX_REJECTED_ATTEMPTS
+                    : mayRepeat(route, history.possiblyExecuted());
             if (!mayRetry) {
                 throw noResponse(ErrorCode.TARGET_FAILED, "The target " + lastTarget + " sent no usable response.");
             }
@@ -233,7 +229,7 @@
 
     /** Ends a request that would begin at a target, but may not end before this process does. */
     private void checkShutdown() {
-        boolean unsent = possiblyExecutedAttempts == 0;
+        boolean unsent = history.possiblyExecuted() == 0;
         if (isShuttingDown() || (unsent && !context.drainState().mayBegin(caller.deadline()))) {
             throw noResponse(ErrorCode.DRAINING, SHUTTING_DOWN, DRAINING_RETRY_DELAY);
         }
@@ -253,7 +249,7 @@
 
     private PoolTargetSelector.Request targetRequirements() {
         return new PoolTargetSelector.Request(
-                attemptedTargets,
+                history.triedTargets(),
                 caller.metadata().affinityKey(),
                 caller.metadata().model(),
                 minimumWeightsVersion(),
@@ -279,7 +275,7 @@
     }
 
     private ShuntException noResponse(ErrorCode code, String message, Duration retryDelay) {
-        if (possiblyExecutedAttempts == 0) {
+        if (history.possiblyExecuted() == 0) {
             caller.refund();
             ErrorCode rejectionCode = code == ErrorCode.TARGET_FAILED || code == ErrorCode.DEADLINE_EXCEEDED
                     ? ErrorCode.OVERLOADED
@@ -293,10 +289,9 @@
     /** Sends the request to a target. Returns false if it failed and may be retried, as far as the route allows. */
     private boolean attempt(LiveTarget target, RelayRoute route) throws IOException {
         long tokens = Math.max(1, caller.metadata().totalTokens());
-        attemptedTargets.add(target.entry().id());
+        int earlierSends = history.recordSend(target.entry());
         lastTarget = target.entry().id();
         lastTargetBornMillis = target.entry().bornMillis();
-        sends++;
         target.load().requestSent(tokens, late);
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
@@ -309,6 +304,7 @@
         try (TargetExchange exchange = new TargetExchange(
                 context.httpClient(),
                 target.entry(),
+                earlierSends,
                 () -> mayBegin(target),
                 caller.outgoing(),
                 TargetRequestHeaders.build(context, caller, target, cache, late, timeout),
@@ -379,9 +375,9 @@
         boolean ownResponse = requestId().equals(metadata.requestId());
         if (metadata.isRefusal() && ownResponse) {
             crashes.recordOutcomeKnown();
-            rejectedAttempts++;
+            history.recordRejected();
             if (metadata.weightsMismatch() && weightsVersion != null) {
-                attemptedTargets.remove(lastTarget);
+                history.permitAgain(lastTarget);
             }
             recordFailure(
                     metadata.targetMismatch()
@@ -393,7 +389,7 @@
             }
             return false;
         }
-        possiblyExecutedAttempts++;
+        history.recordPossiblyExecuted();
         if (ownResponse && model != null && weightsVersion != null) {
             recordWeights(model, weightsVersion);
         }
@@ -421,7 +417,7 @@
         if (response.getStatus() >= SERVER_ERROR_STATUS) {
             target.load().requestFailed();
             if (route.kind() == RouteKind.IDEMPOTENT
-                    && mayRepeat(route, possiblyExecutedAttempts)
+                    && mayRepeat(route, history.possiblyExecuted())
                     && context.limits().tryAcquireRetry(caller.pool().name())) {
                 retryReserved = true;
                 recordFailure("error", "status " + response.getStatus());
@@ -469,7 +465,7 @@
      * to requests that may run more than once.
      */
     private boolean shouldAbandon(LiveTarget target, RelayRoute route) {
-        return mayRepeat(route, possiblyExecutedAttempts + 1)
+        return mayRepeat(route, history.possiblyExecuted() + 1)
                 && !target.load().isUsable()
                 && context.clock().nanos() - sentNanos > route.objective().toNanos() / 2
                 && context.limits().tryAcquireRetry(caller.pool().name());
@@ -491,9 +487,9 @@
         }
         if (failure.isRequestSent()) {
             retryReserved = failure.isAbandoned();
-            possiblyExecutedAttempts++;
+            history.recordPossiblyExecuted();
         } else {
-            rejectedAttempts++;
+            history.recordRejected();
         }
         recordFailure(
                 failure.isTimeout() ? "timeout" : failure.isRequestSent() ? "unknown" : "not_connected",
@@ -523,7 +519,7 @@
                         "reason",
                         reason,
                         "send",
-                        sends,
+                        history.sends(),
                         "connection",
                         lastConnection(),
                         "ms_since_send",
@@ -664,9 +660,9 @@
                             "tokens",
                             caller.metadata().totalTokens(),
                             "ran",
-                            possiblyExecutedAttempts,
+                            history.possiblyExecuted(),
                             "refused_sends",
-                            rejectedAttempts,
+                            history.rejected(),
                             "ms_to_send",
                             TimeUnit.NANOSECONDS.toMillis(sentNanos - receivedNanos),
                             "ms",
@@ -770,9 +766,9 @@
                         "reason",
                         lastFailureReason,
                         "sends",
-                        sends,
+                        history.sends(),
                         "ran",
-                        possiblyExecutedAttempts,
+                        history.possiblyExecuted(),
                         "ms",
                         elapsedMillis(),
                         "configuration",
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -40,6 +40,7 @@
      *
      * @param httpClient the client
      * @param target the target
+     * @param earlierSends the number of earlier sends of the same request to the target's address
      * @param mayBegin asked right before the request is written to a connection; false fails it unsent
      * @param outgoing the request
      * @param headers the headers for the target
@@ -48,6 +49,7 @@
     TargetExchange(
             HttpClient httpClient,
             TargetEntry target,
+            int earlierSends,
             BooleanSupplier mayBegin,
             OutgoingRequest outgoing,
             HttpFields headers,
@@ -64,6 +66,12 @@
                     }
                 })
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        if (earlierSends > 0) {
+            // Jetty keeps a pool of connections for each tag. No connection carries the same request twice, so a
+            // response with
+            // its id can't be a copy of the response to an earlier send.
+            request.tag(earlierSends);
+        }
         if (outgoing.body().length > 0) {
             String type = headers.get(HttpHeader.CONTENT_TYPE);
             request.body(new BytesRequestContent(type == null ? "application/octet-stream" : type, outgoing.body()));
