Count a request as begun unless it was aborted before its first byte

What callers could see: 503, which promises that a request has not run, after a target has run it. Cause: the decision whether a request may still begin is made in a listener. Jetty logs what a listener throws and goes on, so if the decision fails (out of memory, any RuntimeException), the request is written, while the flag that it has begun stays unset. Change: the flag is set before the decision, and taken back only for a request that is aborted; a decision that fails aborts it. The port of the connection is read there too, since a closed connection no longer tells it, and the log said "none". Evidence: by a test on real sockets before this change (requestWhoseBeginCannotBeDecidedIsNotWritten, an IllegalStateException and an OutOfMemoryError): the target got the complete request, and it counted as unsent. The test follows with those of the other orders of begin and abort. RelayHandlerTests, RepeatedSendTests, MisplacedRefusalTests and CrashedTargetTests pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -33,6 +33,7 @@
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean requestBegun = new AtomicBoolean();
     private final Duration timeout;
+    private volatile String localPort = "none";
     private @Nullable ResponseBody body;
 
     /**
@@ -58,13 +59,7 @@
         this.request = UnparsedTargetRequest.create(httpClient, target.host(), target.port(), outgoing.pathAndQuery())
                 .method(outgoing.method())
                 .headers(fields -> fields.add(headers))
-                .onRequestBegin(r -> {
-                    if (mayBegin.getAsBoolean()) {
-                        requestBegun.set(true);
-                    } else {
-                        abort(new IOException("the target may not be sent the request any more"));
-                    }
-                })
+                .onRequestBegin(r -> begin(mayBegin))
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
         if (earlierSends > 0) {
             // Jetty keeps a pool of connections for each tag. No connection carries the same request twice, so a
@@ -79,6 +74,41 @@
         HardTimeout.start(httpClient, request, timeout);
     }
 
+    /**
+     * Decides whether the request is written. Jetty ignores what a listener throws and goes on, so the request counts as
+     * begun unless it has been aborted.
+     */
+    private void begin(BooleanSupplier mayBegin) {
+        localPort = localPort(request.getConnection());
+        requestBegun.set(true);
+        boolean permitted = false;
+        try {
+            permitted = mayBegin.getAsBoolean();
+        } finally {
+            if (!permitted) {
+                abortUnsent(new IOException("the target may not be sent the request any more"));
+            }
+        }
+    }
+
+    /** Aborts the request before its first byte. The thread that waits for the response may wake during the abort. */
+    private void abortUnsent(Throwable cause) {
+        requestBegun.set(false);
+        boolean aborted = false;
+        try {
+            abort(cause);
+            aborted = true;
+        } finally {
+            requestBegun.set(!aborted);
+        }
+    }
+
+    private static String localPort(@Nullable Connection connection) {
+        return connection != null && connection.getLocalSocketAddress() instanceof InetSocketAddress address
+                ? Integer.toString(address.getPort())
+                : "none";
+    }
+
     /**
      * Sends the request and waits for the status and headers of the response.
      *
@@ -128,10 +158,7 @@
 
     /** Returns the local port of the connection on which the request was sent, or {@code none} before that. */
     String localPort() {
-        Connection connection = request.getConnection();
-        return connection != null && connection.getLocalSocketAddress() instanceof InetSocketAddress address
-                ? Integer.toString(address.getPort())
-                : "none";
+        return localPort;
     }
 
     /** Closes the connection, on which the response to this request may still arrive. */
