Answer 500 when a handler fails, whatever status the failure has

Cause: Jetty answers a failure of a handler with the status of the exception if it is an HttpException, and so it does with the failure of the rest of a body that the handler has left unread. JsonErrorHandler wrote "not_run" into every such answer below 500. A failure with 408, 421, 429 or 503 after a request was passed on would have promised that it has not run. The handlers of the relay and of the router catch what they know of, so no case is known in which it happened.

Change: HttpServers marks a request before its handler begins, and JsonErrorHandler answers 500 "unknown" if a marked request fails, whatever the status. Answers before a handler begins, those of a handler that declines and those that a handler writes itself stay as they were.

--- a/transport/src/main/java/dev/bluebellshunt/transport/HttpServers.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpServers.java
@@ -46,7 +46,7 @@
      * @param address the address to listen on
      * @param http the HTTP configuration
      * @param handler handles requests on virtual threads
-     * @param errors responds to requests that never reach the handler
+     * @param errors responds to requests that never reach the handler, and to those whose handler fails
      * @param closer stops the server on close
      * @return the listening connector
      * @throws IllegalStateException if the server cannot listen on the address
@@ -69,7 +69,7 @@
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         connector.setIdleTimeout(IDLE_TIMEOUT_MS);
         server.addConnector(connector);
-        server.setHandler(handler);
+        server.setHandler(new BegunRequests(handler));
         server.setErrorHandler(errors);
         try {
             server.start();
--- a/transport/src/main/java/dev/bluebellshunt/transport/JsonErrorHandler.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/JsonErrorHandler.java
@@ -18,6 +18,10 @@
 /**
  * Writes a JSON error body for requests that Jetty rejects before any handler runs, such as oversized headers, and for
  * those whose handler fails. The body contains no text of the exception.
+ *
+ * <p>Only an error before any handler runs shows that a request has not run. Jetty gives a failure of a handler, or of the
+ * rest of a body, the status of the exception, such as 408 or 503. Callers take some of these to mean that the request has
+ * not run, although the handler may have passed it on, so it becomes a 500.
  */
 public final class JsonErrorHandler extends ErrorHandler {
 
@@ -45,9 +49,12 @@
             @Nullable String message,
             @Nullable Throwable cause,
             Callback callback) {
-        onError.accept(status);
+        boolean mayHaveRun = cause != null && BegunRequests.contain(request);
+        int truthfulStatus = mayHaveRun ? HttpStatus.INTERNAL_SERVER_ERROR_500 : status;
+        onError.accept(truthfulStatus);
+        response.setStatus(truthfulStatus);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        response.write(true, ByteBuffer.wrap(ErrorBody.json(toException(status), "none")), callback);
+        response.write(true, ByteBuffer.wrap(ErrorBody.json(toException(truthfulStatus), "none")), callback);
     }
 
     private static ShuntException toException(int status) {
