Let the router say "not run" only if no attempt may have run the request

Cause: the router reported the outcome of the last attempt. A request that one target may have run, and for which no other target was left, got 503 no_target "not_run"; one whose last target refused the connection got "not_run" too. A response of other weights counted as not run, although an engine had begun. A rejection without a request id counted on kept connections, on which it may belong to an earlier request. Requests that may run once are not affected: they have a connection of their own, and go on only after an attempt that has not run.

Change: Attempts remembers the last failure after which the request may have run, and it is reported instead of any later "not run". Other weights are "unknown". A rejection on a kept connection counts only with the id of the request, which docs/PLATFORM-PROTOCOL.md asks of targets; the stand-in application sends it now.

--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -51,6 +51,7 @@
     private final PrefixChain routingKey;
     private final long fingerprint;
     private final Set<String> excludedTargets = new HashSet<>();
+    private final Attempts attempts = new Attempts();
     private boolean responseReceived;
 
     /**
@@ -125,7 +126,7 @@
                 }
                 case AttemptResult.Failed failed -> {
                     if (!support.tryAcquireRetry(context, failed.failure())) {
-                        throw failed.failure();
+                        throw attempts.toReport(failed.failure());
                     }
                     if (support.isQuarantined(fingerprint)) {
                         throw ProxySupport.quarantined();
@@ -216,7 +217,7 @@
         HashRing applications = context.targets().get().applications(service);
         return support.selector()
                 .select(applications, routingKey, excludedTargets)
-                .orElseThrow(() -> support.noTargetAvailable(service, applications))
+                .orElseThrow(() -> attempts.toReport(support.noTargetAvailable(service, applications)))
                 .target();
     }
 
@@ -246,7 +247,8 @@
                     target,
                     targetFailure(target, Outcome.UNKNOWN, "returned the response of a different request", null));
         }
-        if (TargetHeaders.isNotRun(response)) {
+        boolean ownConnection = !request.route().idempotent();
+        if (TargetHeaders.isNotRun(response) && (responseId != null || ownConnection)) {
             return recordFailure(
                     target, targetFailure(target, Outcome.NOT_RUN, "rejected the request without running it", null));
         }
@@ -277,6 +279,7 @@
     }
 
     private AttemptResult recordFailure(TargetView target, ShuntException failure) {
+        attempts.recordFailure(failure);
         excludedTargets.add(target.name());
         support.recordIfCrash(target, failure, List.of(fingerprint));
         if (failure.step() == Step.CONNECT || failure.getCause() instanceof IOException) {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -53,6 +53,7 @@
     private final long fingerprint;
     private final StreamProgress progress = new StreamProgress();
     private final Set<String> excludedTargets = new HashSet<>();
+    private final Attempts attempts = new Attempts();
     private @Nullable String pinnedWeightsVersion;
     private long bufferedResponseTokens;
 
@@ -222,6 +223,7 @@
     }
 
     private void recordFailure(TargetView target, ShuntException failure) {
+        attempts.recordFailure(failure);
         excludedTargets.add(target.name());
         support.recordIfCrash(target, failure, support.runningRequests().runningOn(target.name()));
         if (ProxySupport.isCrash(failure)) {
@@ -277,7 +279,7 @@
         if (responseId != null && !responseId.equals(context.requestId())) {
             return targetFailure(target, Outcome.UNKNOWN, "returned the response of a different request", null);
         }
-        if (TargetHeaders.isNotRun(response)) {
+        if (responseId != null && TargetHeaders.isNotRun(response)) {
             return targetFailure(target, Outcome.NOT_RUN, "rejected the request without running it", null);
         }
         if (response.status() >= FIRST_SERVER_ERROR_STATUS) {
@@ -295,7 +297,7 @@
         String actualVersion = response.headers().get(TargetHeaders.WEIGHTS_VERSION);
         String expectedVersion = pinnedWeightsVersion == null ? model.weightsVersion() : pinnedWeightsVersion;
         if (actualVersion != null && !actualVersion.equals(expectedVersion)) {
-            return targetFailure(target, Outcome.NOT_RUN, "has a different weights version", null);
+            return targetFailure(target, Outcome.UNKNOWN, "has a different weights version", null);
         }
         pinnedWeightsVersion = expectedVersion;
         return null;
@@ -407,7 +409,8 @@
     }
 
     /** Ends a response that has started with an error event, so that the caller can't mistake it for a complete one. */
-    private ShuntException endBrokenResponse(ShuntException failure) throws IOException {
+    private ShuntException endBrokenResponse(ShuntException lastFailure) throws IOException {
+        ShuntException failure = attempts.toReport(lastFailure);
         if (callerResponse.isStarted()) {
             callerResponse.write(ErrorBody.event(failure, context.requestId()), true);
         }
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/TargetHeaders.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/TargetHeaders.java
@@ -55,7 +55,8 @@
     }
 
     /**
-     * Returns whether the target reports that it did not start the request.
+     * Returns whether the target reports that it did not start the request. Unless the connection has carried no other
+     * request, this counts only if the response has the id of the request, since it may be an earlier one's.
      *
      * @param response the response of the target
      * @return true if another target may run the request
--- a/standins/src/main/java/dev/bluebellshunt/standins/application/StandInApplication.java
+++ b/standins/src/main/java/dev/bluebellshunt/standins/application/StandInApplication.java
@@ -118,6 +118,10 @@
                         .close();
                 return;
             }
+            String requestId = exchange.request().getHeaders().get("x-request-id");
+            if (requestId != null) {
+                exchange.response().getHeaders().put("x-request-id", requestId);
+            }
             if (currentFault == Fault.NOT_RUN) {
                 exchange.response().getHeaders().put("x-not-run", "true");
                 exchange.sendResponse(HttpStatus.SERVICE_UNAVAILABLE_503);
@@ -132,10 +136,6 @@
                         .close();
                 return;
             }
-            String requestId = exchange.request().getHeaders().get("x-request-id");
-            if (requestId != null) {
-                exchange.response().getHeaders().put("x-request-id", requestId);
-            }
             exchange.sendResponse(HttpStatus.OK_200, new RunResult(exchange.path(), body, count));
         }
     }
