Don't let the router pass on a target's status that promises "not run"

Cause: an application's 408, 421, 429 or 503 without "x-not-run: true", and an engine's 408, 421 or 429, went to the caller as they were. Callers take them to mean that the request has not run, but the target may have run it. For a route that may run once the status was also stored and replayed to resends.

Change: such a status becomes 502 "unknown", also from the ledger, as in the relay. An engine's is followed by another engine, as its 503 was.

--- a/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/ApplicationCall.java
@@ -312,6 +312,14 @@
     }
 
     private void sendToCaller(int status, HttpFields headers, byte[] body, boolean openEnded) throws IOException {
+        if (TargetHeaders.promisesNotRun(status)) {
+            throw new ShuntException(
+                    ErrorCode.TARGET_FAILED,
+                    Step.FORWARD,
+                    "self",
+                    Outcome.UNKNOWN,
+                    "The target responded with status " + status + " but may have run the request.");
+        }
         if (openEnded) {
             callerResponse.startOpenEnded(status, headers);
         } else {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/CompletionCall.java
@@ -282,7 +282,7 @@
         if (responseId != null && TargetHeaders.isNotRun(response)) {
             return targetFailure(target, Outcome.NOT_RUN, "rejected the request without running it", null);
         }
-        if (response.status() >= FIRST_SERVER_ERROR_STATUS) {
+        if (response.status() >= FIRST_SERVER_ERROR_STATUS || TargetHeaders.promisesNotRun(response.status())) {
             return targetFailure(target, Outcome.UNKNOWN, "responded with status " + response.status(), null);
         }
         if (response.status() >= FIRST_ERROR_STATUS) {
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/TargetHeaders.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/TargetHeaders.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.router.proxy;
 
 import dev.bluebellshunt.core.target.TargetSignals;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpHeader;
 
 /** Names of the non-standard headers exchanged between routers and targets. */
@@ -38,6 +39,9 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    /** Callers take these statuses to mean that no target has run their request. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, SERVICE_UNAVAILABLE);
+
     private TargetHeaders() {}
 
     /**
@@ -54,6 +58,17 @@
                         : null);
     }
 
+    /**
+     * Returns whether a status would tell a caller that no target has run its request. A target that does not say so
+     * otherwise may have run it.
+     *
+     * @param status the status of a target's response
+     * @return true if the status must not be passed on
+     */
+    static boolean promisesNotRun(int status) {
+        return NOT_RUN_STATUSES.contains(status);
+    }
+
     /**
      * Returns whether the target reports that it did not start the request. Unless the connection has carried no other
      * request, this counts only if the response has the id of the request, since it may be an earlier one's.
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/StatusPromiseTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/StatusPromiseTests.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.oneOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.model.RouteSpec;
@@ -21,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
@@ -129,6 +131,33 @@
         assertThat(harness.sentRequests, hasSize(2));
     }
 
+    /** Guards against a target's status passed on that the target has not meant as the promise. */
+    @ParameterizedTest
+    @CsvSource({
+        "ONCE,408", "ONCE,421", "ONCE,429", "ONCE,503",
+        "IDEMPOTENT,408", "IDEMPOTENT,421", "IDEMPOTENT,429", "IDEMPOTENT,503",
+        "COMPLETION,408", "COMPLETION,421", "COMPLETION,429", "COMPLETION,503",
+        "STREAM,408", "STREAM,421", "STREAM,429", "STREAM,503"
+    })
+    void statusOfTargetThatDoesNotSayNotRunIsNoPromise(Kind kind, int status) {
+        attempts.add(answer(status, HttpFields.EMPTY));
+        ShuntException failure = failureOf(harness(1), kind);
+        assertPromisesNothing(failure);
+        assertThat(failure.code(), equalTo(ErrorCode.TARGET_FAILED));
+        assertThat("the status has been passed on", caller.isStarted(), equalTo(false));
+    }
+
+    /** Guards against the same in the stored result of a request that may run once. */
+    @ParameterizedTest
+    @CsvSource({"408", "421", "429", "503"})
+    void storedStatusIsNoPromise(int status) {
+        attempts.add(answer(status, HttpFields.EMPTY));
+        ProxyTestHarness harness = harness(1);
+        assertPromisesNothing(failureOf(harness, Kind.ONCE));
+        assertPromisesNothing(failureOf(harness, Kind.ONCE));
+        assertThat(harness.sentRequests, hasSize(1));
+    }
+
     /** Guards against an engine that has begun with other weights, and is said not to have run the request. */
     @ParameterizedTest
     @EnumSource(names = {"COMPLETION", "STREAM"})
