Believe an engine's state, not its answer to an order, that it has its weights

Cause: calls to engines have no id. A late copy of an engine's earlier report, on the connection that carries its order next, is a 200, and was taken for "the order already holds": the engine counted as done, was announced as such to the other VMs, and got no further order for this version, although it kept its old weights.

Change: after any answer to an order the state is read, as it was after an accepted one, and only the state completes a step. This costs one more read for an order that really holds. A connection of its own per order would cost a connection for each. The other mistakes of this kind are harmless: a copy of an answer to an order is no report, and a copy of a report shows older weights and an older number of orders, with which the engine accepts no order.

--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/EngineControl.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/EngineControl.java
@@ -67,7 +67,10 @@
     enum OrderResult {
         /** The engine is loading the weights. */
         ACCEPTED,
-        /** The engine already has these weights. */
+        /**
+         * The engine says that it already has these weights. Only its state proves that: a late copy of the engine's
+         * earlier response to another call looks the same.
+         */
         HELD,
         /** Another order is in progress, or has been accepted since the state was read. */
         CONFLICT,
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutSystem.java
@@ -240,10 +240,8 @@
                             step.model(),
                             entry.id(),
                             result);
-                    switch (result) {
-                        case HELD -> recordCompletion(step, state, step.desiredVersion());
-                        case FENCED -> lease.relinquish();
-                        case ACCEPTED, CONFLICT, REJECTED -> {}
+                    if (result == EngineControl.OrderResult.FENCED) {
+                        lease.relinquish();
                     }
                 },
                 failure -> {
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -70,6 +70,7 @@
         private final Map<String, Long> otherModels = new HashMap<>();
         private TargetSignals signals = TargetSignals.NONE;
         private int calls;
+        private int misplacedAnswers;
 
         private Engine(String id) {
             this.id = id;
@@ -168,6 +169,10 @@
 
         private OrderResult handleOrder(Engine engine, WeightsOrder order) {
             engine.completeLoadIfDue();
+            if (engine.misplacedAnswers > 0) {
+                engine.misplacedAnswers--;
+                return OrderResult.HELD;
+            }
             if (order.fencingToken() < engine.highestFencingToken) {
                 return OrderResult.FENCED;
             }
@@ -543,6 +548,21 @@
                         assertThat(engine.id, engine.acceptedOrders, equalTo(acceptedOrdersById.get(engine.id))));
     }
 
+    /**
+     * Guards against an engine that keeps its old weights, and is announced with new ones, because a late copy of an earlier
+     * response on the same connection was taken for the answer to its order.
+     */
+    @Test
+    void orderThatIsSaidToHoldIsNotBelievedWithoutItsWeights() {
+        startFleet(1, 2);
+        Engine engine = engine("e0");
+        engine.misplacedAnswers = 1;
+        publishVersion(2);
+        run(Duration.ofSeconds(6));
+        assertThat("orders were answered by a copy", engine.misplacedAnswers, equalTo(0));
+        assertThat(versions(), contains(2L));
+    }
+
     @Test
     void parallelLoadsAreLimited() {
         startFleet(1, 13);
