--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -196,6 +196,7 @@
 
     @BeforeEach
     void start() {
+        httpClient.setConnectTimeout(TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
         for (int i = 0; i < 2; i++) {
             targetPorts.add(HttpServers.start(
                             "target",
