Stand in for the platform's store, operator, targets and callers as processes

The review's stand-ins run in the process of each single case, and end with it; a soak needs a store and targets that can be stopped, killed and started again by themselves. The module platform/standin has them, below platform/ since they speak its protocol; only lab depends on it, and the deployed jar doesn't.

--- a/cli/src/main/java/dev/bluebellshunt/cli/Command.java
+++ b/cli/src/main/java/dev/bluebellshunt/cli/Command.java
@@ -37,6 +37,15 @@
         return List.of();
     }
 
+    /**
+     * Returns the exit code for invalid arguments.
+     *
+     * @return {@link ExitCode#USAGE}, unless that code has another meaning for this command
+     */
+    default int usageExitCode() {
+        return ExitCode.USAGE;
+    }
+
     /**
      * Runs the command.
      *
--- a/cli/src/main/java/dev/bluebellshunt/cli/CommandLineRunner.java
+++ b/cli/src/main/java/dev/bluebellshunt/cli/CommandLineRunner.java
@@ -80,7 +80,7 @@
             return command.run(line, console);
         } catch (ParseException e) {
             console.err().println(PROGRAM + " " + command.name() + ": " + e.getMessage());
-            return ExitCode.USAGE;
+            return command.usageExitCode();
         } catch (ShuntException | IllegalArgumentException e) {
             console.err().println(PROGRAM + ": " + e.getMessage());
             return ExitCode.FAILED;
--- a/lab/src/main/java/dev/bluebellshunt/lab/Main.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/Main.java
@@ -9,6 +9,7 @@
 import dev.bluebellshunt.lab.demo.DemoCommand;
 import dev.bluebellshunt.lab.demo.DemoPrepareCommand;
 import dev.bluebellshunt.lab.experiment.PolicyCommand;
+import dev.bluebellshunt.lab.soak.SoakCommand;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -33,6 +34,7 @@
         commands.add(new PolicyCommand());
         commands.add(new OverheadCommand());
         commands.add(new ScalingCommand());
+        commands.add(new SoakCommand());
         System.exit(new CommandLineRunner(commands, Console.system()).run(args));
     }
 }
--- /dev/null
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
@@ -0,0 +1,134 @@
+package dev.bluebellshunt.lab.soak;
+
+import dev.bluebellshunt.platform.standin.Operator;
+import dev.bluebellshunt.platform.standin.VmSettings;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** Carries out the planned faults, each on a thread of its own, and counts those that took place. */
+final class FaultInjector {
+
+    private static final int MAX_DELAY_MILLIS = 150;
+
+    private final SoakFleet fleet;
+    private final Operator operator;
+    private final PrintStream log;
+    private final List<Thread> threads = new ArrayList<>();
+    private final Map<Fault.Kind, Integer> counts = new EnumMap<>(Fault.Kind.class);
+
+    FaultInjector(SoakFleet fleet, Operator operator, PrintStream log) {
+        this.fleet = fleet;
+        this.operator = operator;
+        this.log = log;
+    }
+
+    void start(List<Fault> faults) {
+        long beginNanos = System.nanoTime();
+        for (Fault fault : faults) {
+            threads.add(Thread.ofVirtual().start(() -> {
+                try {
+                    long leftMillis = fault.atMillis() - (System.nanoTime() - beginNanos) / 1_000_000;
+                    Thread.sleep(Math.max(0, leftMillis));
+                    boolean done = inject(fault);
+                    count(fault, done);
+                } catch (IOException e) {
+                    log(fault, "failed: " + e.getMessage());
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }));
+        }
+    }
+
+    /** Waits until all faults have ended. */
+    void join() throws InterruptedException {
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    synchronized Map<Fault.Kind, Integer> counts() {
+        return new EnumMap<>(counts);
+    }
+
+    private synchronized void count(Fault fault, boolean done) {
+        if (done) {
+            counts.merge(fault.kind(), 1, Integer::sum);
+        } else {
+            log(fault, "found nothing to befall");
+        }
+    }
+
+    private void log(Fault fault, String text) {
+        log.println(System.currentTimeMillis() + " " + fault + ": " + text);
+    }
+
+    private boolean inject(Fault fault) throws IOException, InterruptedException {
+        log(fault, "begins");
+        return switch (fault.kind()) {
+            case VM_STOP, TARGET_STOP -> suspend(fleet.process(fault.victim()), fault);
+            case VM_TERM, TARGET_TERM -> terminate(fleet.process(fault.victim()));
+            case VM_KILL, TARGET_KILL -> fleet.process(fault.victim()).kill();
+            case VM_HANGUP -> fleet.process(fault.victim()).signal("HUP");
+            case LINK_DELAY -> delay(fleet.link(fault.victim()), fault);
+            case LINK_RESET -> fleet.link(fault.victim()).reset() > 0;
+            case LINK_ONE_WAY -> {
+                boolean toServer = fault.choice() % 2 == 0;
+                yield hold(fleet.link(fault.victim()), fault, toServer, !toServer);
+            }
+            case LINK_SILENCE -> hold(fleet.link(fault.victim()), fault, true, true);
+            case NAME_WEIGHTS -> {
+                synchronized (operator) {
+                    operator.nameWeights(fault.victim());
+                }
+                yield true;
+            }
+            case CHANGE_CONFIGURATION -> {
+                synchronized (operator) {
+                    operator.changeConfiguration(fault.choice());
+                }
+                yield true;
+            }
+        };
+    }
+
+    private static boolean suspend(ManagedProcess process, Fault fault) throws IOException, InterruptedException {
+        int start = process.starts();
+        if (!process.suspend()) {
+            return false;
+        }
+        Thread.sleep(fault.durationMillis());
+        process.resumeIfStill(start);
+        return true;
+    }
+
+    private static boolean terminate(ManagedProcess process) throws IOException, InterruptedException {
+        int start = process.starts();
+        if (!process.terminate()) {
+            return false;
+        }
+        Thread.sleep(VmSettings.GRACE_MILLIS);
+        process.killIfStill(start);
+        return true;
+    }
+
+    private static boolean delay(LoopbackProxy link, Fault fault) throws InterruptedException {
+        int millis = 1 + fault.choice() % MAX_DELAY_MILLIS;
+        link.addDelay(millis);
+        Thread.sleep(fault.durationMillis());
+        link.addDelay(-millis);
+        return true;
+    }
+
+    private static boolean hold(LoopbackProxy link, Fault fault, boolean toServer, boolean toClient)
+            throws InterruptedException {
+        link.hold(toServer, toClient);
+        Thread.sleep(fault.durationMillis());
+        link.release(toServer, toClient);
+        return true;
+    }
+}
