Check keys, limits, draining, versions and planned work in the soak

The soak checked what a status and an answer promise, but not what the operator sets. Keys that were taken away and the limit of a workspace bind at all times, and are checked in every soak. Rules that bind only VMs in touch can't be judged beside faults on every link, so every third seed has planned work only (TERM, HUP, weights, configurations, leaving targets, a store without trouble), and these soaks also check draining targets, replaced weights, keys that were given back, and requests that are cut off although they were passed on.

--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/CallerRecord.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/CallerRecord.java
@@ -19,7 +19,9 @@
      * @param workspace the workspace whose key it had
      * @param path the path
      * @param bodyLength the length of the body
-     * @param client the client and its connection
+     * @param deadlineMillis how long the client waits
+     * @param client the client
+     * @param vm the VM that its connection leads to
      * @param millis the time of day
      */
     record Sent(
@@ -28,14 +30,16 @@
             String workspace,
             String path,
             int bodyLength,
+            int deadlineMillis,
             String client,
+            String vm,
             long millis) {}
 
     /**
      * What came back.
      *
      * @param requestId the id of the request that the client takes it for
-     * @param status the status
+     * @param status the status, or zero if the connection ended before a head
      * @param whole whether the body came up to its end
      * @param body the body
      * @param millis the time of day
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/Fault.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/Fault.java
@@ -19,28 +19,36 @@
 
     private static final long FIRST_MILLIS = 1_000;
 
-    /** The kinds of fault, each with the mean time between two of them and the longest time that one lasts. */
+    /** Of this many seeds one has planned work only. */
+    private static final int PLANNED_ONLY_RATIO = 3;
+
+    /**
+     * The kinds of fault, each with whether it is planned work, the mean time between two of them, and the longest
+     * time that one lasts.
+     */
     enum Kind {
-        VM_STOP(Place.VM, 6_000, 4_000),
-        VM_TERM(Place.VM, 14_000, 1),
-        VM_HANGUP(Place.VM, 10_000, 1),
-        VM_KILL(Place.VM, 16_000, 1),
-        TARGET_STOP(Place.TARGET, 5_000, 5_000),
-        TARGET_TERM(Place.TARGET, 16_000, 1),
-        TARGET_KILL(Place.TARGET, 16_000, 1),
-        LINK_DELAY(Place.LINK, 4_000, 3_000),
-        LINK_RESET(Place.LINK, 4_000, 1),
-        LINK_ONE_WAY(Place.LINK, 6_000, 2_000),
-        LINK_SILENCE(Place.LINK, 6_000, 2_000),
-        NAME_WEIGHTS(Place.POOL, 2_500, 1),
-        CHANGE_CONFIGURATION(Place.OPERATOR, 7_000, 1);
+        VM_STOP(Place.VM, false, 6_000, 4_000),
+        VM_TERM(Place.VM, true, 14_000, 1),
+        VM_HANGUP(Place.VM, true, 10_000, 1),
+        VM_KILL(Place.VM, false, 16_000, 1),
+        TARGET_STOP(Place.TARGET, false, 5_000, 5_000),
+        TARGET_TERM(Place.TARGET, true, 16_000, 1),
+        TARGET_KILL(Place.TARGET, false, 16_000, 1),
+        LINK_DELAY(Place.LINK, false, 4_000, 3_000),
+        LINK_RESET(Place.LINK, false, 4_000, 1),
+        LINK_ONE_WAY(Place.LINK, false, 6_000, 2_000),
+        LINK_SILENCE(Place.LINK, false, 6_000, 2_000),
+        NAME_WEIGHTS(Place.POOL, true, 2_500, 1),
+        CHANGE_CONFIGURATION(Place.OPERATOR, true, 7_000, 1);
 
         private final Place place;
+        private final boolean planned;
         private final long meanGapMillis;
         private final long maxMillis;
 
-        Kind(Place place, long meanGapMillis, long maxMillis) {
+        Kind(Place place, boolean planned, long meanGapMillis, long maxMillis) {
             this.place = place;
+            this.planned = planned;
             this.meanGapMillis = meanGapMillis;
             this.maxMillis = maxMillis;
         }
@@ -81,6 +89,9 @@
         SplittableRandom seeds = new SplittableRandom(seed);
         for (Kind kind : Kind.values()) {
             SplittableRandom random = seeds.split();
+            if (isPlannedOnly(seed) && !kind.planned) {
+                continue;
+            }
             List<String> names = victims.at(kind.place);
             for (long at = FIRST_MILLIS + gap(random, kind); at < traffic.toMillis(); at += gap(random, kind)) {
                 faults.add(new Fault(
@@ -95,6 +106,11 @@
         return List.copyOf(faults);
     }
 
+    /** Whether a soak has planned work only, so that all VMs are in touch and more rules bind. */
+    static boolean isPlannedOnly(long seed) {
+        return Math.floorMod(seed, PLANNED_ONLY_RATIO) == 0;
+    }
+
     private static long gap(SplittableRandom random, Kind kind) {
         return 1 + random.nextLong(2 * kind.meanGapMillis);
     }
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
@@ -19,6 +19,7 @@
     private final PrintStream log;
     private final List<Thread> threads = new ArrayList<>();
     private final Map<Fault.Kind, Integer> counts = new EnumMap<>(Fault.Kind.class);
+    private final List<PlannedWorkChecks.Ending> endings = new ArrayList<>();
 
     FaultInjector(SoakFleet fleet, Operator operator, PrintStream log) {
         this.fleet = fleet;
@@ -55,6 +56,11 @@
         return new EnumMap<>(counts);
     }
 
+    /** Returns when VMs and targets were told to end. */
+    synchronized List<PlannedWorkChecks.Ending> endings() {
+        return List.copyOf(endings);
+    }
+
     private synchronized void count(Fault fault, boolean done) {
         if (done) {
             counts.merge(fault.kind(), 1, Integer::sum);
@@ -82,15 +88,11 @@
             }
             case LINK_SILENCE -> hold(fleet.link(fault.victim()), fault, true, true);
             case NAME_WEIGHTS -> {
-                synchronized (operator) {
-                    operator.nameWeights(fault.victim());
-                }
+                operator.nameWeights(fault.victim());
                 yield true;
             }
             case CHANGE_CONFIGURATION -> {
-                synchronized (operator) {
-                    operator.changeConfiguration(fault.choice());
-                }
+                operator.changeConfiguration(fault.choice());
                 yield true;
             }
         };
@@ -106,11 +108,15 @@
         return true;
     }
 
-    private static boolean terminate(ManagedProcess process) throws IOException, InterruptedException {
+    private boolean terminate(ManagedProcess process) throws IOException, InterruptedException {
         int start = process.starts();
+        long millis = System.currentTimeMillis();
         if (!process.terminate()) {
             return false;
         }
+        synchronized (this) {
+            endings.add(new PlannedWorkChecks.Ending(process.name(), millis));
+        }
         Thread.sleep(VmSettings.GRACE_MILLIS);
         process.killIfStill(start);
         return true;
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/PromiseChecks.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/PromiseChecks.java
@@ -41,7 +41,19 @@
         /** An answer that isn't that of a run of this request. */
         MIXED,
         /** A run of something that no client sent. */
-        UNASKED
+        UNASKED,
+        /** A run of a request with a key that had been taken away. */
+        REVOKED,
+        /** More runs of the limited workspace than its limit allows. */
+        LIMITS,
+        /** An answer that only an older configuration allows. */
+        CONFIGURATION,
+        /** A run on weights that had been replaced. */
+        VERSION,
+        /** A request that reached a target which had left. */
+        DRAIN,
+        /** A request that was cut off beside planned work. */
+        LOST
     }
 
     /**
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/Soak.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/Soak.java
@@ -86,7 +86,14 @@
         supervisor.join();
         closer.close();
         List<TargetRecord.Entry> entries = fleet.readRecords();
-        return new SoakReport(options, folder, console).print(callers, entries, injector.counts(), fleet.processes());
+        List<PromiseChecks.Violation> violations = new ArrayList<>(PromiseChecks.check(callers, entries));
+        violations.addAll(OperatorChecks.check(callers, entries, operator.configurations()));
+        if (Fault.isPlannedOnly(options.seed())) {
+            violations.addAll(PlannedWorkChecks.check(
+                    callers, entries, operator.configurations(), operator.namedWeights(), injector.endings()));
+        }
+        return new SoakReport(options, folder, console)
+                .print(callers, entries, violations, injector.counts(), fleet.processes());
     }
 
     private static void beginWhenStoreListens(Operator operator) throws IOException, InterruptedException {
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakClient.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakClient.java
@@ -35,7 +35,7 @@
     private final CallerRecord record;
     private final AtomicBoolean stop;
     private @Nullable HttpConnection connection;
-    private String connectionName = "none";
+    private String vmName = "none";
     private int requests;
 
     /** How a client uses its connections. */
@@ -115,7 +115,7 @@
         HttpConnection open = connection;
         if (open == null) {
             Balancer.Vm vm = balancer.choose(random);
-            connectionName = "client-" + number + " at " + vm.name();
+            vmName = vm.name();
             open = HttpConnection.open(vm.address(), READ_SLACK_MILLIS);
             connection = open;
         }
@@ -143,7 +143,9 @@
                 workspace,
                 Operator.path(route, requestId),
                 bodyLength,
-                connectionName,
+                deadline,
+                "client-" + number,
+                vmName,
                 System.currentTimeMillis()));
         return Operator.requestHead(route, requestId, workspace, deadline, random.nextInt(SESSIONS), bodyLength)
                 + "b".repeat(bodyLength);
@@ -163,7 +165,13 @@
     /** Reads an answer; returns whether another one may follow on the connection. */
     private boolean read(HttpConnection open, CallerRecord.Sent request) throws IOException {
         open.setTimeout(request.route().timeoutMillis() + READ_SLACK_MILLIS);
-        HttpConnection.Head head = open.readHead();
+        HttpConnection.Head head;
+        try {
+            head = open.readHead();
+        } catch (IOException e) {
+            record.add(new CallerRecord.Answer(request.requestId(), 0, false, "", System.currentTimeMillis()));
+            throw e;
+        }
         HttpConnection.Body body = open.readBody(head);
         record.add(new CallerRecord.Answer(
                 request.requestId(), head.status(), body.complete(), body.text(), System.currentTimeMillis()));
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakFleet.java
@@ -61,7 +61,11 @@
         ManagedProcess store = child(
                 "store",
                 StoreProcess.class,
-                List.of(hostName, Integer.toString(storePort), Long.toString(seeds.nextLong())));
+                List.of(
+                        hostName,
+                        Integer.toString(storePort),
+                        Long.toString(seeds.nextLong()),
+                        Boolean.toString(Fault.isPlannedOnly(seed))));
         store.start();
         SoakOptions.Site site = options.site();
         addTargets(Operator.STREAM_POOL, site.streamEngines(), seeds);
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakReport.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakReport.java
@@ -36,10 +36,11 @@
         this.console = console;
     }
 
-    /** Checks the records, prints the result, and returns the exit code. */
+    /** Prints the result, and returns the exit code. */
     int print(
             CallerRecord callers,
             List<TargetRecord.Entry> entries,
+            List<PromiseChecks.Violation> violations,
             Map<Fault.Kind, Integer> faults,
             List<ManagedProcess> processes)
             throws IOException {
@@ -54,7 +55,6 @@
                 .filter(process -> process.endsByItself() > 0)
                 .forEach(process ->
                         console.print("%s ended by itself %d times", process.name(), process.endsByItself()));
-        List<PromiseChecks.Violation> violations = PromiseChecks.check(callers, entries);
         Map<PromiseChecks.Rule, Integer> rules = new EnumMap<>(PromiseChecks.Rule.class);
         violations.forEach(violation -> rules.merge(violation.rule(), 1, Integer::sum));
         for (PromiseChecks.Violation violation :
--- a/lab/src/test/java/dev/bluebellshunt/lab/soak/FaultTests.java
+++ b/lab/src/test/java/dev/bluebellshunt/lab/soak/FaultTests.java
@@ -24,7 +24,7 @@
     @Test
     void sameSeedHasSamePlan() {
         assertThat(plan(5, Duration.ofMinutes(1)), equalTo(plan(5, Duration.ofMinutes(1))));
-        assertThat(plan(5, Duration.ofMinutes(1)), not(equalTo(plan(6, Duration.ofMinutes(1)))));
+        assertThat(plan(5, Duration.ofMinutes(1)), not(equalTo(plan(7, Duration.ofMinutes(1)))));
     }
 
     @Test
@@ -34,4 +34,18 @@
         assertThat(kinds, equalTo(EnumSet.allOf(Fault.Kind.class)));
         assertThat(plan.getLast().atMillis(), lessThan(Duration.ofMinutes(10).toMillis()));
     }
+
+    @Test
+    void everyThirdSeedHasPlannedWorkOnly() {
+        Set<Fault.Kind> kinds =
+                plan(6, Duration.ofMinutes(10)).stream().map(Fault::kind).collect(Collectors.toSet());
+        assertThat(
+                kinds,
+                equalTo(EnumSet.of(
+                        Fault.Kind.VM_TERM,
+                        Fault.Kind.VM_HANGUP,
+                        Fault.Kind.TARGET_TERM,
+                        Fault.Kind.NAME_WEIGHTS,
+                        Fault.Kind.CHANGE_CONFIGURATION)));
+    }
 }
--- a/lab/src/test/java/dev/bluebellshunt/lab/soak/PromiseChecksTests.java
+++ b/lab/src/test/java/dev/bluebellshunt/lab/soak/PromiseChecksTests.java
@@ -24,7 +24,7 @@
 
     private void send(Operator.Route route) {
         callers.add(new CallerRecord.Sent(
-                ID, route, "ada", Operator.path(route, ID), BODY_LENGTH, "client-0 at vm-0", 100));
+                ID, route, "ada", Operator.path(route, ID), BODY_LENGTH, 1_000, "client-0", "vm-0", 100));
     }
 
     private void answer(int status, boolean whole, String body) {
@@ -36,7 +36,7 @@
     }
 
     private void record(TargetRecord.Event event, String run, String workspace, String path, int bodyLength) {
-        entries.add(new TargetRecord.Entry(150, event, ID, run, workspace, path, bodyLength, "target#1"));
+        entries.add(new TargetRecord.Entry(150, event, ID, run, workspace, path, bodyLength, "target", 1));
     }
 
     private List<PromiseChecks.Rule> broken() {
@@ -75,7 +75,8 @@
                 "ada",
                 Operator.path(Operator.Route.ONCE_ENGINE, ID),
                 BODY_LENGTH,
-                "target#1"));
+                "target",
+                1));
         assertThat(broken(), contains(PromiseChecks.Rule.REFUSED));
     }
 
--- a/lab/src/test/java/dev/bluebellshunt/lab/soak/SoakReportTests.java
+++ b/lab/src/test/java/dev/bluebellshunt/lab/soak/SoakReportTests.java
@@ -38,21 +38,23 @@
     private void serve(int count) {
         for (int i = 0; i < count; i++) {
             String id = "id-" + (10 + i);
-            callers.add(new CallerRecord.Sent(id, ROUTE, "ada", Operator.path(ROUTE, id), 1, "client-0 at vm-0", 1));
+            callers.add(
+                    new CallerRecord.Sent(id, ROUTE, "ada", Operator.path(ROUTE, id), 1, 1_000, "client-0", "vm-0", 1));
             callers.add(new CallerRecord.Answer(id, 200, true, AnswerText.plain(id, "run"), 3));
             add(TargetRecord.Event.BEGAN, id, "run");
         }
     }
 
     private void add(TargetRecord.Event event, String id, String run) {
-        entries.add(new TargetRecord.Entry(2, event, id, run, "ada", Operator.path(ROUTE, id), 1, "target#1"));
+        entries.add(new TargetRecord.Entry(2, event, id, run, "ada", Operator.path(ROUTE, id), 1, "target", 1));
     }
 
     private int report(Map<Fault.Kind, Integer> faults) throws IOException {
         PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
         SoakOptions options =
                 new SoakOptions(9, Duration.ofSeconds(6), 3, SoakOptions.Site.SMALL, folder, Path.of("root"));
-        return new SoakReport(options, folder, new Console(stream, stream)).print(callers, entries, faults, List.of());
+        return new SoakReport(options, folder, new Console(stream, stream))
+                .print(callers, entries, PromiseChecks.check(callers, entries), faults, List.of());
     }
 
     private String output() {
@@ -77,7 +79,7 @@
                 output(),
                 allOf(
                         containsString("TWICE id-10: it ran 2 times"),
-                        containsString("client-0 at vm-0"),
+                        containsString("client=client-0, vm=vm-0"),
                         containsString("status 200 whole"),
                         containsString("run=other run"),
                         containsString("vm-1.log: attempt of id-10 failed"),
