--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/Soak.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/Soak.java
@@ -51,6 +51,9 @@
                 PrintStream log = new PrintStream(
                         Files.newOutputStream(folder.resolve("faults.log")), true, StandardCharsets.UTF_8)) {
             return run(folder, closer, log);
+        } catch (IOException e) {
+            console.err().println("soak: " + e);
+            return SoakReport.NOTHING_CHECKED;
         }
     }
 
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakFleet.java
@@ -120,7 +120,8 @@
                 System.getProperty("java.class.path"),
                 main.getName()));
         command.addAll(arguments);
-        return closer.add(new ManagedProcess(name, command, Map.of(), folder, folder.resolve(name + ".log")));
+        return closer.add(new ManagedProcess(
+                name, command, Map.of(), Path.of("").toAbsolutePath(), folder.resolve(name + ".log")));
     }
 
     private LoopbackProxy link(String name, int destinationPort) throws IOException {
