--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/TestHeaderCodec.java
@@ -16,6 +16,7 @@
 
     private volatile Consumer<String> targetChosen = target -> {};
     private volatile Runnable callerHeadersRead = () -> {};
+    private volatile Runnable responseHeadersRead = () -> {};
 
     /** Sets what happens after a target has been chosen for a request, and before the request is sent. */
     public void onTargetChosen(Consumer<String> action) {
@@ -27,6 +28,11 @@
         callerHeadersRead = action;
     }
 
+    /** Sets what happens when the headers of a target's response are read. */
+    public void onResponseHeadersRead(Runnable action) {
+        responseHeadersRead = action;
+    }
+
     @Override
     public CallerRequestMetadata readCallerHeaders(HttpFields headers) {
         callerHeadersRead.run();
@@ -67,6 +73,7 @@
 
     @Override
     public TargetResponseMetadata readResponseHeaders(String targetId, int status, HttpFields headers) {
+        responseHeadersRead.run();
         return new TargetResponseMetadata(
                 headers.get("t-id"),
                 headers.contains("t-seal"),
