Test which requests the router's client reports as not sent

Four faults on a connection that a target has accepted (closed before and after the head, reset after the whole request, given up by the router) are "unknown", a closed port is "not run". All passed on unchanged code.

--- a/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.error.Outcome;
+import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.model.TargetKind;
 import dev.bluebellshunt.core.model.TargetSpec;
 import dev.bluebellshunt.core.target.TargetRuntimeState;
@@ -20,16 +22,22 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class JettyTargetClientTests {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+    /** More than the buffers of a connection hold. */
+    private static final int LARGE_BODY_BYTES = 16 * 1024 * 1024;
+
     private final Closer closer = new Closer();
     private final HttpClient http = HttpClients.start("test", closer);
     private final JettyTargetClient client = new JettyTargetClient(http, http, MonotonicClock.system());
@@ -39,21 +47,18 @@
         closer.close();
     }
 
+    private static TargetView target(int port) {
+        TargetSpec spec =
+                new TargetSpec("target", TargetKind.APPLICATION, "127.0.0.1", port, "d", Set.of(), false, false);
+        return new TargetView(spec, TargetState.LIVE, "i1", new TargetRuntimeState());
+    }
+
     private record ReadResponse(String body, boolean marksEnd) {}
 
     private ReadResponse send(String contentType, String body) throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread server = Thread.ofVirtual().start(() -> serve(listener, contentType, body));
-            TargetSpec spec = new TargetSpec(
-                    "target",
-                    TargetKind.APPLICATION,
-                    "127.0.0.1",
-                    listener.getLocalPort(),
-                    "d",
-                    Set.of(),
-                    false,
-                    false);
-            TargetView target = new TargetView(spec, TargetState.LIVE, "i1", new TargetRuntimeState());
+            TargetView target = target(listener.getLocalPort());
             TargetRequest request = new TargetRequest(
                     "POST", "/", HttpFields.EMPTY, new byte[0], true, Deadline.after(MonotonicClock.system(), TIMEOUT));
             try (TargetResponse response = client.send(target, request)) {
@@ -90,4 +95,71 @@
     void otherUnframedResponseLeavesItsEndOpen(String contentType, String body) throws Exception {
         assertThat(send(contentType, body), equalTo(new ReadResponse(body, false)));
     }
+
+    /** What happens on a connection that a target has accepted. */
+    enum Fault {
+        CLOSES_WITHOUT_READING,
+        CLOSES_AFTER_HEAD,
+        RESETS_AFTER_REQUEST,
+        /** The router gives up while the target has not answered. */
+        ROUTER_GIVES_UP
+    }
+
+    /** Guards against a request that a target may have run, and which is said not to have run. */
+    @ParameterizedTest
+    @EnumSource
+    void requestOnOpenConnectionMayHaveRun(Fault fault) throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CountDownLatch failed = new CountDownLatch(1);
+            Thread router = Thread.currentThread();
+            Thread server = Thread.ofVirtual().start(() -> fail(listener, fault, router, failed));
+            TargetRequest request = new TargetRequest(
+                    "POST",
+                    "/",
+                    HttpFields.EMPTY,
+                    new byte[LARGE_BODY_BYTES],
+                    true,
+                    Deadline.after(MonotonicClock.system(), TIMEOUT));
+            ShuntException failure =
+                    assertThrows(ShuntException.class, () -> client.send(target(listener.getLocalPort()), request));
+            assertThat("interrupted", Thread.interrupted(), equalTo(fault == Fault.ROUTER_GIVES_UP));
+            failed.countDown();
+            server.join();
+            assertThat(failure.outcome(), equalTo(Outcome.UNKNOWN));
+        }
+    }
+
+    private static void fail(ServerSocket listener, Fault fault, Thread router, CountDownLatch failed) {
+        try (Socket socket = listener.accept()) {
+            switch (fault) {
+                case CLOSES_WITHOUT_READING -> {}
+                case CLOSES_AFTER_HEAD -> socket.getInputStream().readNBytes(1);
+                case RESETS_AFTER_REQUEST -> {
+                    socket.getInputStream().readNBytes(LARGE_BODY_BYTES);
+                    socket.setSoLinger(true, 0);
+                }
+                case ROUTER_GIVES_UP -> {
+                    socket.getInputStream().readNBytes(1);
+                    router.interrupt();
+                    failed.await();
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException("the test server failed", e);
+        }
+    }
+
+    @Test
+    void requestToClosedPortHasNotRun() throws Exception {
+        int port;
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = closed.getLocalPort();
+        }
+        TargetRequest request = new TargetRequest(
+                "POST", "/", HttpFields.EMPTY, new byte[0], true, Deadline.after(MonotonicClock.system(), TIMEOUT));
+        assertThat(
+                assertThrows(ShuntException.class, () -> client.send(target(port), request))
+                        .outcome(),
+                equalTo(Outcome.NOT_RUN));
+    }
 }
