--- a/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/HttpClients.java
@@ -4,6 +4,7 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.concurrent.Executors;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -24,7 +25,7 @@
     private static final int MAX_HEADER_BYTES = 32 * 1024;
 
     private static final int MAX_CONNECTIONS_PER_TARGET = 4096;
-    private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final long IDLE_TIMEOUT_MS = 60_000;
 
     private HttpClients() {}
@@ -37,6 +38,18 @@
      * @return the started client
      */
     public static HttpClient start(String name, Closer closer) {
+        return start(name, CONNECT_TIMEOUT, closer);
+    }
+
+    /**
+     * Creates and starts a client.
+     *
+     * @param name the name of its thread pool
+     * @param connectTimeout how long to wait for a connection
+     * @param closer stops the client on close
+     * @return the started client
+     */
+    public static HttpClient start(String name, Duration connectTimeout, Closer closer) {
         QueuedThreadPool threads = new QueuedThreadPool();
         threads.setName(name);
         threads.setDaemon(true);
@@ -59,7 +72,7 @@
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_TARGET);
-        client.setConnectTimeout(CONNECT_TIMEOUT_MS);
+        client.setConnectTimeout(connectTimeout.toMillis());
         client.setIdleTimeout(IDLE_TIMEOUT_MS);
         client.setUserAgentField(null);
         client.setMaxRequestHeadersSize(MAX_HEADER_BYTES);
