--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/ServerFailureTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/ServerFailureTests.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
@@ -192,4 +193,22 @@
         assertThat(response, containsString("\"outcome\":\"unknown\""));
         assertThat("runs", receivedRequests, hasSize(1));
     }
+
+    /** Guards against a watcher that outlives a request which ended with an error, and swallows the next one. */
+    @Test
+    void connectionIsClosedOrServesNextRequestAfterError() throws Exception {
+        configure();
+        headerCodec.onResponseHeadersRead(() -> {
+            throw new StackOverflowError();
+        });
+        Socket caller = send(port, REQUEST);
+        StringBuilder first = new StringBuilder();
+        while (first.indexOf("}}") < 0) {
+            first.append((char) caller.getInputStream().read());
+        }
+        headerCodec.onResponseHeadersRead(() -> {});
+        caller.getOutputStream()
+                .write(REQUEST.replace("Host:", "Connection: close\r\nHost:").getBytes(StandardCharsets.US_ASCII));
+        assertThat(read(caller), anyOf(startsWith("HTTP/1.1 200 "), equalTo("")));
+    }
 }
