Test the retry limit of the relay and the limits of the router as promises

A request whose retry the pool's limit forbids, after an attempt that may have run, is told "unknown"; a request over its workspace's limit is not sent by the router.

--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/StatusPromiseTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/StatusPromiseTests.java
@@ -86,6 +86,22 @@
         assertThat(receivedRequests, hasSize(1));
     }
 
+    @Test
+    void usedUpRetryLimitAfterAttemptThatMayHaveRunIsNoPromise() throws Exception {
+        configure();
+        ContentResponse response = get("/safe/first");
+        for (int i = 0; i < REQUESTS && response.getStatus() == 200; i++) {
+            registerTargets(2 + i);
+            receivedRequests.clear();
+            scriptedResponses.clear();
+            scriptedResponses.add(closeWithoutResponse());
+            response = get("/safe/" + i);
+        }
+        assertMayHaveRun(response);
+        assertThat(response.getContentAsString(), containsString("retry limit"));
+        assertThat(receivedRequests, hasSize(1));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {408, 421, 429, 503})
     void statusOfTargetThatDoesNotSayNotRunIsNoPromise(int status) throws Exception {
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/StatusPromiseTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/StatusPromiseTests.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.router.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.not;
@@ -131,6 +132,18 @@
         assertThat(harness.sentRequests, hasSize(2));
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void requestOverLimitIsNotSent(Kind kind) {
+        ProxyTestHarness harness = harness(2);
+        String workspace = ProxyTestHarness.WORKSPACE.name();
+        harness.limiter.admit(ProxyTestHarness.WORKSPACE, (long) harness.limiter.availableTokens(workspace));
+        ShuntException failure = failureOf(harness, kind);
+        assertThat(failure.code(), equalTo(ErrorCode.RATE_LIMITED));
+        assertThat(failure.outcome(), equalTo(Outcome.NOT_RUN));
+        assertThat(harness.sentRequests, empty());
+    }
+
     /** Guards against a target's status passed on that the target has not meant as the promise. */
     @ParameterizedTest
     @CsvSource({
