Take a rejection only from an error response

What callers could see: 503, or a second run of a request that may run once, although a target had begun to answer it. Cause: a header that says "not run" counted with any status, also with a success or an interim response. Evidence: MisplacedRefusalTests#successIsNoRejection, the request was sent to a second target before. A review showed the same for an interim response (103) with that header, by a test on raw sockets: two runs. Why it works: a target that has begun a response below 400 runs the request; the status decides.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -56,6 +56,9 @@
     /** Maximum number of attempts that were certainly not run, after which the request is rejected. */
     private static final int MAX_REJECTED_ATTEMPTS = 3;
 
+    /** A target that has begun a response with a lower status runs the request, whatever the headers say. */
+    private static final int CLIENT_ERROR_STATUS = 400;
+
     private static final int SERVER_ERROR_STATUS = 500;
 
     /**
@@ -373,7 +376,7 @@
         }
         context.targetSignals().record(target, metadata.signals(), requestId());
         boolean ownResponse = requestId().equals(metadata.requestId());
-        if (metadata.isRefusal() && ownResponse) {
+        if (metadata.isRefusal() && ownResponse && response.getStatus() >= CLIENT_ERROR_STATUS) {
             crashes.recordOutcomeKnown();
             history.recordRejected();
             if (metadata.weightsMismatch() && weightsVersion != null) {
@@ -397,7 +400,7 @@
             crashes.recordResponse(target, exchange.connection());
         }
         boolean misplaced = !ownResponse && (metadata.requestId() != null || metadata.isRefusal());
-        boolean unsigned = response.getStatus() < SERVER_ERROR_STATUS - 100 && !metadata.signed();
+        boolean unsigned = response.getStatus() < CLIENT_ERROR_STATUS && !metadata.signed();
         if (misplaced || unsigned) {
             recordFailure(
                     misplaced ? "misplaced_answer" : "bad_answer",
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/MisplacedRefusalTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/MisplacedRefusalTests.java
@@ -77,4 +77,35 @@
         assertThat(connections, hasSize(2));
         assertThat(connections.getLast(), not(equalTo(connections.getFirst())));
     }
+    /** Guards against a request that may have run and is then sent without end to a target that rejects it. */
+    @Test
+    void rejectionsAfterSendThatMayHaveRunAreBounded() throws Exception {
+        configure();
+        registerTargets(1, Map.of("m", 2L));
+        scriptedResponses.add(closeWithoutResponse());
+        for (int i = 0; i < 20; i++) {
+            scriptedResponses.add((request, response, callback) -> {
+                response.getHeaders().put("t-weights", 1);
+                refusal("id-1", "t-other-weights").respond(request, response, callback);
+            });
+        }
+        ContentResponse answer = request("/safe/read")
+                .headers(headers -> headers.put("t-model", "m"))
+                .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .send();
+        assertThat(answer.getStatus(), equalTo(502));
+        assertThat("sends", receivedRequests, hasSize(lessThanOrEqualTo(4)));
+    }
+
+    /** Guards against a promise for a request whose response is a success. */
+    @Test
+    void successIsNoRejection() throws Exception {
+        configure();
+        scriptedResponses.add((request, response, callback) -> {
+            response.getHeaders().put("t-not-run", 1);
+            ok("done").respond(request, response, callback);
+        });
+        assertThat(get("/once/order").getStatus(), equalTo(200));
+        assertThat("sends", receivedRequests, hasSize(1));
+    }
 }
