Learn the weights of a target only from responses to the request itself

What callers could see: rejections of all requests for a model at one target, until it restarts. Cause: the version of a response was recorded for the model of the request that was sent, before the id of the response was looked at. A late copy of an answer for another model, whose versions are higher, was recorded for good, since the highest version counts. The relay then expects weights that the target never has.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -371,11 +371,11 @@
                 context.headerCodec().readResponseHeaders(lastTarget, response.getStatus(), response.getHeaders());
         String model = caller.metadata().model();
         Long weightsVersion = metadata.weightsVersion();
-        if (model != null && weightsVersion != null && !metadata.targetMismatch()) {
+        boolean ownResponse = requestId().equals(metadata.requestId());
+        if (ownResponse && model != null && weightsVersion != null && !metadata.targetMismatch()) {
             target.load().recordWeights(model, weightsVersion);
         }
         context.targetSignals().record(target, metadata.signals(), requestId());
-        boolean ownResponse = requestId().equals(metadata.requestId());
         if (metadata.isRefusal() && ownResponse && response.getStatus() >= CLIENT_ERROR_STATUS) {
             crashes.recordOutcomeKnown();
             history.recordRejected();
