Bound the rejections of a request that may have run, too

What targets saw: a request that may run again, sent over and over to a target that rejects it for its weights, as long as the pool permits retries, each time on a further pool of connections. Cause: the bound of three rejections applied only while the request had certainly not run.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -216,9 +216,8 @@
             if (attempt(selection.get().target(), route)) {
                 return;
             }
-            boolean mayRetry = history.possiblyExecuted() == 0
-                    ? history.rejected() < MAX_REJECTED_ATTEMPTS
-                    : mayRepeat(route, history.possiblyExecuted());
+            boolean mayRetry = history.rejected() < MAX_REJECTED_ATTEMPTS
+                    && (history.possiblyExecuted() == 0 || mayRepeat(route, history.possiblyExecuted()));
             if (!mayRetry) {
                 throw noResponse(ErrorCode.TARGET_FAILED, "The target " + lastTarget + " sent no usable response.");
             }
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/MisplacedRefusalTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/MisplacedRefusalTests.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import dev.bluebellshunt.relay.target.LiveTarget;
@@ -102,6 +103,27 @@
             assertThat(target.weightsVersion("m"), equalTo(1L));
         }
     }
+
+    /** Guards against a request that may have run and is then sent without end to a target that rejects it. */
+    @Test
+    void rejectionsAfterSendThatMayHaveRunAreBounded() throws Exception {
+        configure();
+        registerTargets(1, Map.of("m", 2L));
+        scriptedResponses.add(closeWithoutResponse());
+        for (int i = 0; i < 20; i++) {
+            scriptedResponses.add((request, response, callback) -> {
+                response.getHeaders().put("t-weights", 1);
+                refusal("id-1", "t-other-weights").respond(request, response, callback);
+            });
+        }
+        ContentResponse answer = request("/safe/read")
+                .headers(headers -> headers.put("t-model", "m"))
+                .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .send();
+        assertThat(answer.getStatus(), equalTo(502));
+        assertThat("sends", receivedRequests, hasSize(lessThanOrEqualTo(4)));
+    }
+
     /** Guards against a promise for a request whose response is a success. */
     @Test
     void successIsNoRejection() throws Exception {
