--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/SendHistory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/SendHistory.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -20,14 +21,15 @@
     private int rejected;
 
     /**
-     * Records that the request is about to be sent to a target.
+     * Records that the request is about to be sent to a target. Sends count by address, since a target that has started again
+     * under another id may be listed twice, and connections are kept by address, whose letters may differ in case.
      *
      * @return the number of its earlier sends to the same address
      */
     int recordSend(TargetEntry target) {
         sends++;
         triedTargets.add(target.id());
-        return sendsByAddress.merge(target.address(), 1, Integer::sum) - 1;
+        return sendsByAddress.merge(target.address().toLowerCase(Locale.ROOT), 1, Integer::sum) - 1;
     }
 
     /** Records that a target has run the request, or may have. */
