--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -87,6 +87,7 @@
     final Queue<ScriptedResponse> scriptedResponses = new ConcurrentLinkedQueue<>();
     final Queue<ReceivedRequest> receivedRequests = new ConcurrentLinkedQueue<>();
     final HttpClient httpClient = HttpClients.start("test", Duration.ofSeconds(WAIT_SECONDS), closer);
+    final HttpClient targetClient = HttpClients.start("targets", closer);
     final List<Integer> targetPorts = new ArrayList<>();
 
     @Nullable
@@ -221,7 +222,7 @@
                         Duration.ofSeconds(8),
                         peerReports),
                 headerCodec,
-                HttpClients.start("targets", closer),
+                targetClient,
                 drainState,
                 bodyMemory,
                 new DecisionLog(clock),
