--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -62,9 +62,8 @@
                 .onRequestBegin(r -> begin(mayBegin))
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
         if (earlierSends > 0) {
-            // Jetty keeps a pool of connections for each tag. No connection carries the same request twice, so a
-            // response with
-            // its id can't be a copy of the response to an earlier send.
+            // Jetty keeps a pool of connections for each tag. No connection carries the same request twice, so no
+            // response with its id is a copy of the response to an earlier send.
             request.tag(earlierSends);
         }
         if (outgoing.body().length > 0) {
