Close the connection unread only after bytes of the request have come

By its code, the target closed the connection when it had accepted it, which the client may notice before it begins the request; then nothing has been sent, and NOT_RUN is true. The target now waits until bytes have arrived, and still reads none; UNKNOWN is required as before.

--- a/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
@@ -132,7 +132,12 @@
     private static void fail(ServerSocket listener, Fault fault, Thread router, CountDownLatch failed) {
         try (Socket socket = listener.accept()) {
             switch (fault) {
-                case CLOSES_WITHOUT_READING -> {}
+                case CLOSES_WITHOUT_READING -> {
+                    // A connection that is closed before the request begins has carried nothing.
+                    while (socket.getInputStream().available() == 0) {
+                        Thread.onSpinWait();
+                    }
+                }
                 case CLOSES_AFTER_HEAD -> socket.getInputStream().readNBytes(1);
                 case RESETS_AFTER_REQUEST -> {
                     socket.getInputStream().readNBytes(LARGE_BODY_BYTES);
