--- a/relay/src/main/java/dev/bluebellshunt/relay/model/TargetEntry.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/model/TargetEntry.java
@@ -1,6 +1,7 @@
 package dev.bluebellshunt.relay.model;
 
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Entry with which a target has registered itself.
@@ -14,6 +15,7 @@
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is shutting down and accepts no new requests
  * @param weights the loaded version of the weights, by model
+ * @param softwareVersion the version of the target's software, empty if unknown
  */
 public record TargetEntry(
         String id,
@@ -24,7 +26,39 @@
         String failureDomain,
         int slots,
         boolean leaving,
-        Map<String, Long> weights) {
+        Map<String, Long> weights,
+        String softwareVersion) {
+
+    /** Completes an entry of an older version, which lacks the version of the software. */
+    public TargetEntry {
+        softwareVersion = Objects.requireNonNullElse(softwareVersion, "");
+    }
+
+    /**
+     * Creates the entry of a target whose software version is unknown.
+     *
+     * @param id the id of the target
+     * @param bornMillis the start time of this incarnation, in milliseconds since the Unix epoch
+     * @param pool the pool that the target belongs to
+     * @param host the IP address
+     * @param port the port
+     * @param failureDomain the failure domain that the target runs in
+     * @param slots the number of requests that it runs concurrently
+     * @param leaving whether it is shutting down and accepts no new requests
+     * @param weights the loaded version of the weights, by model
+     */
+    public TargetEntry(
+            String id,
+            long bornMillis,
+            String pool,
+            String host,
+            int port,
+            String failureDomain,
+            int slots,
+            boolean leaving,
+            Map<String, Long> weights) {
+        this(id, bornMillis, pool, host, port, failureDomain, slots, leaving, weights, "");
+    }
 
     /**
      * Returns the identity of this incarnation, which is distinct after each restart.
@@ -50,7 +84,7 @@
      * @return the entry, leaving
      */
     public TargetEntry asLeaving() {
-        return new TargetEntry(id, bornMillis, pool, host, port, failureDomain, slots, true, weights);
+        return new TargetEntry(id, bornMillis, pool, host, port, failureDomain, slots, true, weights, softwareVersion);
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/FleetDigest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/FleetDigest.java
@@ -5,6 +5,7 @@
 import dev.bluebellshunt.relay.target.LoadedWeights;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * State of the whole fleet except for the VM that asks its hub for it.
@@ -18,6 +19,7 @@
  * @param givesOrders whether a VM orders engines to load new weights
  * @param loaded the weights that engines have recently loaded
  * @param crashes the crashes of targets by the requests that they were running
+ * @param observations what VMs have observed of targets
  */
 public record FleetDigest(
         Map<String, InFlightLoad> uses,
@@ -28,4 +30,11 @@
         Map<String, RetryUsage> retries,
         boolean givesOrders,
         List<LoadedWeights> loaded,
-        CrashReport crashes) {}
+        CrashReport crashes,
+        PeerObservations observations) {
+
+    /** Completes the state as an older version sends it. */
+    public FleetDigest {
+        observations = Objects.requireNonNullElse(observations, PeerObservations.NONE);
+    }
+}
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReport.java
@@ -24,6 +24,7 @@
  * @param retries the requests and retries within the window of the retry limit, by pool
  * @param vms the VMs whose state is included
  * @param silent what VMs of the group admitted within the window that no longer report, by VM and workspace
+ * @param observations what the reported VMs have observed of targets
  */
 public record PeerReport(
         String vm,
@@ -37,7 +38,8 @@
         Map<String, Double> admissionRates,
         Map<String, RetryUsage> retries,
         Set<String> vms,
-        Map<String, Map<String, Double>> silent) {
+        Map<String, Map<String, Double>> silent,
+        PeerObservations observations) {
 
     /** Completes the report of an older version, which contains the state of its sender only. */
     public PeerReport {
@@ -45,6 +47,7 @@
         retries = Objects.requireNonNullElse(retries, Map.of());
         vms = vms == null || vms.isEmpty() ? Set.of(vm) : Set.copyOf(vms);
         silent = Objects.requireNonNullElse(silent, Map.of());
+        observations = Objects.requireNonNullElse(observations, PeerObservations.NONE);
     }
 
     /**
@@ -68,7 +71,8 @@
                 Map.of(),
                 Map.of(),
                 Set.of(vm),
-                Map.of());
+                Map.of(),
+                PeerObservations.NONE);
     }
 
     /**
@@ -90,6 +94,7 @@
                 admissionRates,
                 retries,
                 vms,
-                silent);
+                silent,
+                observations);
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
@@ -39,6 +39,7 @@
     private long digestNanos;
     private volatile Map<String, InFlightLoad> totals = Map.of();
     private volatile boolean peersIssueOrders;
+    private volatile PeerObservations observations = PeerObservations.NONE;
     private volatile PeerAdmissions admissions = PeerAdmissions.NONE;
     private volatile Deadline aggregationExpiry;
 
@@ -142,6 +143,7 @@
         if (current != null && isDigestFresh()) {
             totals = current.uses();
             peersIssueOrders = current.givesOrders();
+            observations = current.observations();
             admissions = new PeerAdmissions(
                     current.admitted(),
                     current.admissionRates(),
@@ -174,6 +176,7 @@
         }
         totals = sums.uses;
         peersIssueOrders = sums.givesOrders;
+        observations = sums.observations;
         admissions = new PeerAdmissions(sums.admitted, sums.rates, sums.retries, now, sums.vms, silent, null);
         aggregationExpiry = expiry;
     }
@@ -194,6 +197,15 @@
         return totals.getOrDefault(target, InFlightLoad.NONE);
     }
 
+    /**
+     * Returns what the other VMs have observed of targets.
+     *
+     * @return the sum over their latest reports
+     */
+    public PeerObservations observations() {
+        return observations;
+    }
+
     /**
      * Returns whether another VM orders engines to load new weights.
      *
@@ -250,7 +262,8 @@
                 round(sums.rates),
                 sums.retries,
                 sums.vms,
-                silent);
+                silent,
+                sums.observations);
     }
 
     /**
@@ -279,7 +292,8 @@
                 sums.retries,
                 sums.givesOrders,
                 List.copyOf(sums.loaded),
-                sums.crashes());
+                sums.crashes(),
+                sums.observations);
     }
 
     /** Rounds up, since fractions of units are irrelevant and would make up most of the size of a message. */
@@ -307,6 +321,7 @@
         private final Set<String> partsWritten = new HashSet<>();
         private final Map<String, Map<String, Set<Long>>> completedWithoutParts = new HashMap<>();
         private final Map<String, Map<String, Double>> silent = new HashMap<>();
+        private PeerObservations observations = PeerObservations.NONE;
         private boolean givesOrders;
 
         private Sums(long nowNanos) {
@@ -328,6 +343,7 @@
             givesOrders |= report.givesOrders();
             silent.putAll(report.silent());
             addCrashes(report.crashes());
+            observations = observations.plus(report.observations());
         }
 
         private void addCrashes(@Nullable CrashReport report) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -177,7 +177,8 @@
                 limits.admissionRates(),
                 limits.retryUsage(),
                 Set.of(vm),
-                Map.of());
+                Map.of(),
+                PeerObservations.NONE);
     }
 
     private Map<String, InFlightLoad> localLoad() {
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTableTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTableTests.java
@@ -42,7 +42,8 @@
                 Map.of("w", perSecond),
                 Map.of(),
                 Set.of(vm),
-                Map.of());
+                Map.of(),
+                PeerObservations.NONE);
     }
 
     @Test
@@ -108,7 +109,8 @@
                 Map.of(),
                 Map.of(),
                 Set.of("other-hub", "a"),
-                Map.of());
+                Map.of(),
+                PeerObservations.NONE);
         hub.update(otherGroup);
         assertThat(hub.groupReport().silent(), aMapWithSize(0));
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTests.java
@@ -39,7 +39,8 @@
                 Map.of(),
                 Map.of("pool", new RetryUsage(2, 1)),
                 Set.of("vm-1"),
-                Map.of());
+                Map.of(),
+                PeerObservations.NONE);
         assertThat(Json.read(Json.write(report), PeerReport.class), equalTo(report));
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/weights/RolloutSystemTests.java
@@ -16,6 +16,7 @@
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.peer.PeerObservations;
 import dev.bluebellshunt.relay.peer.PeerReport;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
@@ -367,7 +368,8 @@
                         Map.of(),
                         Map.of(),
                         Set.of(from.name),
-                        Map.of());
+                        Map.of(),
+                        PeerObservations.NONE);
                 vms.stream().filter(to -> to != from).forEach(to -> to.peers.update(report));
             }
             run(TICK);
