Move target choice, completion estimate and retry decision out of RelayCall

RelayCall mixed the exchange with a target and the decisions about it, so that none of the decisions could be tested without a server. Moves them to CompletionEstimate, RetryDecision and TargetChoice, without a change of behaviour.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -12,7 +12,6 @@
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.target.LiveTarget;
-import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.IOException;
@@ -21,7 +20,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -47,15 +45,9 @@
 
     private static final int READ_BUFFER_BYTES = 8 * 1024;
 
-    /** Retry delay for callers while no target is available; about the time that an engine takes to load weights. */
-    private static final Duration NO_TARGET_RETRY_DELAY = Duration.ofMillis(400);
-
     /** How long an engine that rejected a request gets no others; about the last steps of a running request. */
     private static final Duration TARGET_OVERLOADED_BACKOFF = Duration.ofMillis(150);
 
-    /** Maximum number of attempts that were certainly not run, after which the request is rejected. */
-    private static final int MAX_REJECTED_ATTEMPTS = 3;
-
     /** A target that has begun a response with a lower status runs the request, whatever the headers say. */
     private static final int CLIENT_ERROR_STATUS = 400;
 
@@ -67,9 +59,6 @@
      */
     private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
-    /** Approximate prefill throughput of an engine, used only to estimate waiting times. */
-    private static final long PREFILL_TOKENS_PER_MS = 60;
-
     /** A target that crashes because of a prompt does so soon after its first byte. */
     private static final Duration WRITING_PROOF_TIME = Duration.ofMillis(500);
 
@@ -84,12 +73,12 @@
     private final ResponseWriter writer;
     private final long receivedNanos;
     private final SendHistory history = new SendHistory();
+    private final TargetChoice choice;
 
     private boolean retryReserved;
     private long sentNanos;
     private boolean responseBegun;
 
-    private boolean late;
     private String result = "ok";
     private String lastTarget = "none";
     private long lastTargetBornMillis;
@@ -105,6 +94,7 @@
         this.crashes = new CrashTracker(context, caller);
         this.writer = new ResponseWriter(response);
         this.receivedNanos = receivedNanos;
+        this.choice = new TargetChoice(context, caller, history, receivedNanos);
     }
 
     String requestId() {
@@ -175,6 +165,7 @@
     void forward() throws IOException {
         RelayRoute route = caller.route();
         PoolSpec pool = caller.pool();
+        RetryDecision retries = new RetryDecision(route, history, crashes::isPromptPartSuspect);
         context.limits().recordRequest(pool.name());
         while (true) {
             if (isCallerDisconnected()) {
@@ -185,48 +176,35 @@
             }
             checkShutdown();
             checkQuarantine();
-            Optional<PoolTargetSelector.Selection> selection = context.targetSelector()
-                    .select(context.targetDirectory().snapshot().pool(pool.name()), targetRequirements());
-            if (selection.isEmpty()) {
-                throw noResponse(
-                        ErrorCode.NO_TARGET,
-                        "No target of the pool is available.",
-                        context.targetSelector()
-                                .retryDelay(context.targetDirectory().snapshot().pool(pool.name()), context.clock())
-                                .orElse(NO_TARGET_RETRY_DELAY));
-            }
-            boolean wasLate = late;
-            if (history.possiblyExecuted() == 0) {
-                checkObjective(selection.get(), route);
-            }
-            if (late != wasLate) {
-                // A late request may wait longer at its engine, so it needs weights that stay acceptable for longer.
-                selection = context.targetSelector()
-                        .select(context.targetDirectory().snapshot().pool(pool.name()), targetRequirements());
-                if (selection.isEmpty()) {
-                    throw noResponse(
-                            ErrorCode.NO_TARGET, "No target with recent weights is available for a late request.");
-                }
-            }
+            LiveTarget target = chooseTarget();
             boolean firstAttempt = history.possiblyExecuted() + history.rejected() == 0;
             if (!firstAttempt && !retryReserved && !context.limits().tryAcquireRetry(pool.name())) {
                 throw noResponse(ErrorCode.OVERLOADED, "The retry limit of the pool is exhausted.");
             }
             retryReserved = false;
-            if (attempt(selection.get().target(), route)) {
+            if (attempt(target, route, retries)) {
                 return;
             }
-            boolean mayRetry = history.rejected() < MAX_REJECTED_ATTEMPTS
-                    && (history.possiblyExecuted() == 0 || mayRepeat(route, history.possiblyExecuted()));
-            if (!mayRetry) {
+            if (!retries.mayRetry()) {
                 throw noResponse(ErrorCode.TARGET_FAILED, "The target " + lastTarget + " sent no usable response.");
             }
         }
     }
 
-    /** Whether another target may run a request that may have been run, as far as the route and its prompt allow. */
-    private boolean mayRepeat(RelayRoute route, int attempts) {
-        return route.isRetryable() && attempts < route.maxAttempts() && !crashes.isPromptPartSuspect();
+    private LiveTarget chooseTarget() {
+        return switch (choice.next()) {
+            case TargetChoice.Outcome.Chosen chosen -> chosen.target();
+            case TargetChoice.Outcome.NoTarget none ->
+                throw noResponse(ErrorCode.NO_TARGET, none.message(), none.retryDelay());
+            case TargetChoice.Outcome.TooLate tooLate -> {
+                caller.refund();
+                throw ShuntException.notRun(
+                        ErrorCode.OVERLOADED,
+                        Step.ROUTE,
+                        "The queues of the engines are too long to start the request before its deadline.",
+                        tooLate.retryDelay());
+            }
+        };
     }
 
     /** Ends a request that would begin at a target, but may not end before this process does. */
@@ -249,31 +227,9 @@
                 quarantine);
     }
 
-    private PoolTargetSelector.Request targetRequirements() {
-        return new PoolTargetSelector.Request(
-                history.triedTargets(),
-                caller.metadata().affinityKey(),
-                caller.metadata().model(),
-                minimumWeightsVersion(),
-                context.targetDirectory().loading(),
-                caller.metadata().totalTokens(),
-                caller.pool().engine());
-    }
-
-    private long minimumWeightsVersion() {
-        String model = caller.metadata().model();
-        return model == null
-                ? 0
-                : MinimumWeightsVersion.compute(
-                        context.operatorState().weights().get(model),
-                        context.clock().nanos(),
-                        context.maxWeightsStaleness(),
-                        late);
-    }
-
     /** Returns the error for a request without a response, which states whether a target may have run it. */
     private ShuntException noResponse(ErrorCode code, String message) {
-        return noResponse(code, message, NO_TARGET_RETRY_DELAY);
+        return noResponse(code, message, TargetChoice.NO_TARGET_RETRY_DELAY);
     }
 
     private ShuntException noResponse(ErrorCode code, String message, Duration retryDelay) {
@@ -289,12 +245,12 @@
     }
 
     /** Sends the request to a target. Returns false if it failed and may be retried, as far as the route allows. */
-    private boolean attempt(LiveTarget target, RelayRoute route) throws IOException {
+    private boolean attempt(LiveTarget target, RelayRoute route, RetryDecision retries) throws IOException {
         long tokens = Math.max(1, caller.metadata().totalTokens());
         int earlierSends = history.recordSend(target.entry());
         lastTarget = target.entry().id();
         lastTargetBornMillis = target.entry().bornMillis();
-        target.load().requestSent(tokens, late);
+        target.load().requestSent(tokens, choice.isLate());
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         responseBegun = false;
@@ -307,65 +263,30 @@
                 context.httpClient(),
                 target.entry(),
                 earlierSends,
-                () -> mayBegin(target),
+                () -> choice.mayBegin(target),
                 caller.outgoing(),
-                TargetRequestHeaders.build(context, caller, target, cache, late, timeout),
+                TargetRequestHeaders.build(context, caller, target, cache, choice.isLate(), timeout),
                 timeout)) {
             setExchange(exchange);
-            return processExchange(target, route, exchange);
+            return processExchange(target, route, retries, exchange);
         } finally {
             crashes.recordAttemptEnd();
-            target.load().requestEnded(tokens, late, responseBegun);
+            target.load().requestEnded(tokens, choice.isLate(), responseBegun);
             setExchange(null);
         }
     }
 
-    /** Whether a target may still be sent the request, which may have waited for a connection since the choice. */
-    private boolean mayBegin(LiveTarget chosen) {
-        String model = caller.metadata().model();
-        return context.targetDirectory()
-                .snapshot()
-                .find(chosen.entry().incarnation())
-                .filter(LiveTarget::acceptsRequests)
-                .filter(target -> model == null || target.weightsVersion(model) >= minimumWeightsVersion())
-                .isPresent();
-    }
-
-    /**
-     * Estimates whether the request can meet its latency objective on the selected target. A request that cannot is
-     * queued behind those that can, and one that would not start before its deadline is rejected immediately.
-     */
-    private void checkObjective(PoolTargetSelector.Selection selection, RelayRoute route) {
-        if (caller.metadata().model() == null) {
-            return;
-        }
-        long estimatedMillis = elapsedMillis()
-                + (selection.backlogTokens() + caller.metadata().promptTokens()) / PREFILL_TOKENS_PER_MS;
-        late = estimatedMillis > route.objective().toMillis();
-        long lateQueueMillis = selection.lateTokens() / PREFILL_TOKENS_PER_MS;
-        if (late
-                && estimatedMillis + lateQueueMillis
-                        > elapsedMillis()
-                                + caller.deadline().remaining(context.clock()).toMillis()) {
-            caller.refund();
-            throw ShuntException.notRun(
-                    ErrorCode.OVERLOADED,
-                    Step.ROUTE,
-                    "The queues of the engines are too long to start the request before its deadline.",
-                    Duration.ofMillis(Math.max(NO_TARGET_RETRY_DELAY.toMillis(), lateQueueMillis / 2)));
-        }
-    }
-
-    private boolean processExchange(LiveTarget target, RelayRoute route, TargetExchange exchange) throws IOException {
+    private boolean processExchange(LiveTarget target, RelayRoute route, RetryDecision retries, TargetExchange exchange)
+            throws IOException {
         org.eclipse.jetty.client.Response response;
         try {
-            response = exchange.awaitResponse(() -> shouldAbandon(target, route));
+            response = exchange.awaitResponse(() -> shouldAbandon(target, retries));
         } catch (TargetExchange.TargetRequestException e) {
             handleFailure(target, e);
             return false;
         }
         responseBegun = true;
-        target.load().firstByteReceived(Math.max(1, caller.metadata().totalTokens()), late);
+        target.load().firstByteReceived(Math.max(1, caller.metadata().totalTokens()), choice.isLate());
         TargetResponseMetadata metadata =
                 context.headerCodec().readResponseHeaders(lastTarget, response.getStatus(), response.getHeaders());
         String model = caller.metadata().model();
@@ -419,7 +340,7 @@
         if (response.getStatus() >= SERVER_ERROR_STATUS) {
             target.load().requestFailed();
             if (route.kind() == RouteKind.IDEMPOTENT
-                    && mayRepeat(route, history.possiblyExecuted())
+                    && retries.mayRepeat()
                     && context.limits().tryAcquireRetry(caller.pool().name())) {
                 retryReserved = true;
                 recordFailure("error", "status " + response.getStatus());
@@ -462,14 +383,10 @@
         }
     }
 
-    /**
-     * Whether to stop waiting for the response of an unresponsive target and to retry on another one. Applies only
-     * to requests that may run more than once.
-     */
-    private boolean shouldAbandon(LiveTarget target, RelayRoute route) {
-        return mayRepeat(route, history.possiblyExecuted() + 1)
-                && !target.load().isUsable()
-                && context.clock().nanos() - sentNanos > route.objective().toNanos() / 2
+    private boolean shouldAbandon(LiveTarget target, RetryDecision retries) {
+        return retries.mayAbandon(
+                        target.load().isUsable(),
+                        Duration.ofNanos(context.clock().nanos() - sentNanos))
                 && context.limits().tryAcquireRetry(caller.pool().name());
     }
 
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
@@ -0,0 +1,60 @@
+package dev.bluebellshunt.relay.target;
+
+import java.time.Duration;
+
+/**
+ * Estimates whether a request can still meet its objective on an engine, or at least start before its deadline.
+ *
+ * <p>A request that misses its objective is queued behind those that can still meet theirs. One that would not start
+ * before its deadline is rejected at once, so that its caller can try elsewhere while there is time.
+ */
+public final class CompletionEstimate {
+
+    /** Approximate prefill throughput of an engine, used only to estimate waiting times. */
+    private static final long PREFILL_TOKENS_PER_MS = 60;
+
+    private CompletionEstimate() {}
+
+    /** What a request can still achieve. */
+    public sealed interface Outcome {
+
+        /** The request can meet its objective. */
+        record OnTime() implements Outcome {}
+
+        /** The request misses its objective, but can start before its deadline. */
+        record Late() implements Outcome {}
+
+        /**
+         * The request would not start before its deadline.
+         *
+         * @param queue the time until the requests that already miss their objectives have started
+         */
+        record Hopeless(Duration queue) implements Outcome {}
+    }
+
+    /**
+     * Estimates the outcome of a request.
+     *
+     * @param selection the engine and its queue
+     * @param promptTokens the size of the prompt
+     * @param elapsedMillis the time since the request arrived
+     * @param objectiveMillis the time from the arrival to the first event that the route asks for
+     * @param remainingMillis the time until the deadline of the request
+     * @return the outcome
+     */
+    public static Outcome estimate(
+            PoolTargetSelector.Selection selection,
+            long promptTokens,
+            long elapsedMillis,
+            long objectiveMillis,
+            long remainingMillis) {
+        long startMillis = (selection.backlogTokens() + promptTokens) / PREFILL_TOKENS_PER_MS;
+        if (elapsedMillis + startMillis <= objectiveMillis) {
+            return new Outcome.OnTime();
+        }
+        long lateQueueMillis = selection.lateTokens() / PREFILL_TOKENS_PER_MS;
+        return startMillis + lateQueueMillis > remainingMillis
+                ? new Outcome.Hopeless(Duration.ofMillis(lateQueueMillis))
+                : new Outcome.Late();
+    }
+}
