--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -259,6 +259,7 @@
                                 operators.isReadingStore(),
                                 place.isHub(),
                                 place.hubAddresses().size());
+                context.metrics().store(store.era().number(), store.eras().doubtfulResponses());
                 runHousekeeping();
             }
         });
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSize.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSize.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.store.StoreLease;
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -55,6 +56,11 @@
         return UNKNOWN;
     }
 
+    /** Lets the next call of {@link #publish} write the number even if it has not changed, since the store was restored. */
+    void publishAgain() {
+        published = UNKNOWN;
+    }
+
     /**
      * Publishes the number of VMs if it has changed and this VM is the first by name.
      *
@@ -70,9 +76,10 @@
         if (size == published || size == UNKNOWN) {
             return;
         }
+        long era = store.era().number();
         control.onCompletion(
-                store.putRecord(KEY, Integer.toString(size), SharedStore.NO_LEASE),
-                done -> published = size,
+                store.putRecord(KEY, Integer.toString(size), StoreLease.NONE),
+                done -> published = store.era().number() == era ? size : UNKNOWN,
                 failure -> log.debug("Could not publish the size of the fleet: {}", failure.toString()));
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -11,6 +11,8 @@
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.store.StoreLease;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -63,7 +65,7 @@
     private final String internalAddress;
     private final double capacity;
     private final Map<String, Double> demand = new HashMap<>();
-    private long lease = SharedStore.NO_LEASE;
+    private StoreLease lease = StoreLease.NONE;
     private VmRecord publishedRecord;
     private final CurrentTopology topology;
     private final KnownVms knownVms;
@@ -77,6 +79,7 @@
     private int expectedVms;
     private @Nullable Deadline registrationEnd;
     private long exchangedNanos;
+    private long exchangedEra;
 
     /**
      * Creates a system that publishes its record at the first tick.
@@ -111,7 +114,8 @@
         this.control = control;
         this.clock = clock;
         this.interval = interval;
-        this.publishedRecord = new VmRecord(vm, failureDomain, internalAddress, capacity, Map.of());
+        this.publishedRecord =
+                new VmRecord(vm, failureDomain, internalAddress, capacity, Map.of(), StoreRevision.NO_ERA);
         this.vm = vm;
         this.failureDomain = failureDomain;
         this.internalAddress = internalAddress;
@@ -151,8 +155,9 @@
         knownVms.update(readAll(previousFleet.records()), true);
         for (SharedRecord sharedRecord : previousFleet.records()) {
             if (sharedRecord.key().equals(KEY_PREFIX + vm)) {
-                registeredBefore = true;
                 read(sharedRecord).ifPresent(previous -> {
+                    // In a copy from before this era, records of VMs may be missing that have registered since.
+                    registeredBefore = previous.era() == store.era().number();
                     limits.restoreDemand(previous.demand());
                     demand.putAll(previous.demand());
                     log.info("This VM has restarted; before, it admitted {} units per second.", previous.demand());
@@ -180,13 +185,14 @@
     private void exchange() {
         updateDemand();
         long askedNanos = clock.nanos();
-        long previousLease = lease;
+        long era = store.era().number();
+        StoreLease previousLease = lease.era() == era ? lease : StoreLease.NONE;
         boolean demandDue = nextDemand.hasPassed(clock) && hasDemandChanged();
-        VmRecord ownRecord = demandDue || previousLease == SharedStore.NO_LEASE
-                ? new VmRecord(vm, failureDomain, internalAddress, capacity, Map.copyOf(demand))
+        VmRecord ownRecord = demandDue || previousLease.equals(StoreLease.NONE)
+                ? new VmRecord(vm, failureDomain, internalAddress, capacity, Map.copyOf(demand), era)
                 : publishedRecord;
-        CompletableFuture<ExchangeResult> exchange = ensureLease()
-                .thenCompose(leaseId -> leaseId == previousLease && ownRecord.equals(publishedRecord)
+        CompletableFuture<ExchangeResult> exchange = ensureLease(previousLease)
+                .thenCompose(leaseId -> leaseId.equals(previousLease) && ownRecord.equals(publishedRecord)
                         ? CompletableFuture.completedFuture(leaseId)
                         : store.putRecord(KEY_PREFIX + vm, Json.write(ownRecord), leaseId)
                                 .thenApply(done -> leaseId))
@@ -195,11 +201,10 @@
         control.onCompletion(exchange, result -> onExchanged(result, ownRecord, askedNanos), this::onFailure);
     }
 
-    private CompletableFuture<Long> ensureLease() {
-        if (lease == SharedStore.NO_LEASE) {
+    private CompletableFuture<StoreLease> ensureLease(StoreLease leaseId) {
+        if (leaseId.equals(StoreLease.NONE)) {
             return store.grantLease(LEASE_DURATION);
         }
-        long leaseId = lease;
         return store.renewLease(leaseId).thenApply(done -> leaseId).exceptionallyCompose(failure -> {
             Throwable cause = failure.getCause() == null ? failure : failure.getCause();
             return cause instanceof LeaseExpiredException
@@ -236,16 +241,21 @@
 
     private void onExchanged(ExchangeResult result, VmRecord ownRecord, long askedNanos) {
         callInFlight = false;
-        boolean renewedOnly = result.lease() == lease && ownRecord.equals(publishedRecord);
+        boolean renewedOnly = result.lease().equals(lease) && ownRecord.equals(publishedRecord);
         boolean listsOwn = containsOwn(result.records());
         // An earlier write that was executed late may have attached the record to a lease that has expired since.
-        lease = renewedOnly && !listsOwn ? SharedStore.NO_LEASE : result.lease();
+        lease = renewedOnly && !listsOwn ? StoreLease.NONE : result.lease();
         if (!ownRecord.equals(publishedRecord)) {
             int vms = Math.max(1, knownVms.records().size());
             nextDemand = Deadline.after(clock, DEMAND_INTERVAL_PER_VM.multipliedBy(vms));
         }
         publishedRecord = ownRecord;
-        updateFleet(result.records(), mayHaveExpired(askedNanos, listsOwn));
+        boolean restored = result.lease().era() != exchangedEra;
+        if (restored) {
+            exchangedEra = result.lease().era();
+            fleetSize.publishAgain();
+        }
+        updateFleet(result.records(), restored || mayHaveExpired(askedNanos, listsOwn));
         exchangedNanos = askedNanos;
         failedSinceExchange = false;
         if (listsOwn) {
@@ -308,7 +318,7 @@
     private void onFailure(Throwable failure) {
         callInFlight = false;
         failedSinceExchange = true;
-        lease = SharedStore.NO_LEASE;
+        lease = StoreLease.NONE;
         log.debug("Could not exchange VM records with the store: {}", failure.toString());
     }
 
@@ -316,5 +326,5 @@
     private record PreviousFleet(List<SharedRecord> records, int size) {}
 
     /** The lease of this VM's record, and the records of all VMs. */
-    private record ExchangeResult(long lease, List<SharedRecord> records) {}
+    private record ExchangeResult(StoreLease lease, List<SharedRecord> records) {}
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/VmRecord.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/VmRecord.java
@@ -10,9 +10,15 @@
  * @param internalAddress host and port at which the other VMs reach it
  * @param capacity the processor cores that it may use; zero in the records of older versions
  * @param demand the units per second that it admits, by limited workspace
+ * @param era the era of the store in which it was written; zero in the records of older versions
  */
 public record VmRecord(
-        String vm, String failureDomain, String internalAddress, double capacity, Map<String, Double> demand) {
+        String vm,
+        String failureDomain,
+        String internalAddress,
+        double capacity,
+        Map<String, Double> demand,
+        long era) {
 
     private static final int MAX_PORT = 65_535;
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -292,7 +292,8 @@
                     targets.listing(),
                     targets.entries(),
                     askedNanos - TimeUnit.MILLISECONDS.toNanos(targets.ageMillis()),
-                    clock.nanos() - TimeUnit.MILLISECONDS.toNanos(targets.availableMillis()));
+                    clock.nanos() - TimeUnit.MILLISECONDS.toNanos(targets.availableMillis()),
+                    targets.era());
         }
         FleetDigest digest = reply.digest();
         if (digest != null) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReceiver.java
@@ -129,6 +129,7 @@
                 listing.number(),
                 knownListing >= listing.entriesNumber() ? null : listing.entries(),
                 ReportReply.age(listing.asOfNanos(), clock.nanos()),
-                TimeUnit.NANOSECONDS.toMillis(clock.nanos() - listing.availableSinceNanos()));
+                TimeUnit.NANOSECONDS.toMillis(clock.nanos() - listing.availableSinceNanos()),
+                listing.era());
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
@@ -5,6 +5,7 @@
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -35,6 +36,7 @@
     /**
      * The operators' state.
      *
+     * @param era the era of the store that it was read in; zero from older versions
      * @param revision the revision of the store that it covers
      * @param configuration the configuration, or null if the sender of the report has it
      * @param weights the known versions of the weights by model, oldest first
@@ -42,6 +44,7 @@
      * @param watchMillis the time for which the sender's watch of the store counts as alive; zero from older versions
      */
     public record Operators(
+            long era,
             long revision,
             @Nullable RelayConfiguration configuration,
             Map<String, List<PublishedVersion>> weights,
@@ -55,7 +58,8 @@
             Map<String, List<PublishedVersion>> weights = new HashMap<>();
             snapshot.weights().forEach((model, newest) -> weights.put(model, versions(newest, nowNanos)));
             return new Operators(
-                    snapshot.revision(),
+                    snapshot.revision().era(),
+                    snapshot.revision().number(),
                     known ? null : configuration,
                     weights,
                     age(snapshot.asOfNanos(), nowNanos),
@@ -82,7 +86,8 @@
                     desired.put(model, newest);
                 }
             });
-            return new OperatorStateSystem.Snapshot(revision, configuration, desired, nanos(askedNanos, ageMillis));
+            return new OperatorStateSystem.Snapshot(
+                    new StoreRevision(era, revision), configuration, desired, nanos(askedNanos, ageMillis));
         }
 
         private static long nanos(long askedNanos, long ageMillis) {
@@ -110,6 +115,8 @@
      * @param entries the entries, or null if they are the same as in the listing that the sender of the report has
      * @param ageMillis the age of the listing
      * @param availableMillis the time for which the store has been available to the VM that responds
+     * @param era the era of the store that the listing was read in; zero from older versions
      */
-    public record Targets(long listing, @Nullable List<TargetEntry> entries, long ageMillis, long availableMillis) {}
+    public record Targets(
+            long listing, @Nullable List<TargetEntry> entries, long ageMillis, long availableMillis, long era) {}
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/quarantine/QuarantineSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/quarantine/QuarantineSystem.java
@@ -18,7 +18,8 @@
 /**
  * Writes the quarantines of which this VM has observed a crash to the store, and reads all quarantines after startup.
  *
- * <p>VMs report crashes to each other directly. The store is needed only when all VMs restart at once. Confined to the
+ * <p>VMs report crashes to each other directly. The store is needed only when all VMs restart at once. Each VM writes its
+ * quarantines again after a restore of the store, which may have undone earlier writes. Confined to the
  * control thread.
  */
 public final class QuarantineSystem implements ControlSystem {
@@ -37,6 +38,7 @@
     private final JitteredTimer interval;
     private final Map<String, Set<String>> written = new HashMap<>();
     private int remainingReads = STARTUP_READS;
+    private long writtenEra;
     private boolean callInFlight;
 
     /**
@@ -63,6 +65,10 @@
             read();
             return;
         }
+        if (store.era().number() != writtenEra) {
+            writtenEra = store.era().number();
+            written.clear();
+        }
         List<QuarantineTable.Quarantine> quarantines = table.observed();
         written.keySet()
                 .retainAll(quarantines.stream()
@@ -105,11 +111,14 @@
         callInFlight = true;
         String key = table.keyPrefix() + Long.toHexString(Hashing.komihash5_0().hashCharsToLong(quarantine.name()));
         Set<String> crashes = Set.copyOf(quarantine.crashes());
+        long era = writtenEra;
         control.onCompletion(
                 store.grantLease(RECORD_LIFETIME).thenCompose(lease -> store.putRecord(key, quarantine.value(), lease)),
                 done -> {
                     callInFlight = false;
-                    written.put(quarantine.name(), crashes);
+                    if (store.era().number() == era) {
+                        written.put(quarantine.name(), crashes);
+                    }
                     log.info(
                             "{}{} is quarantined; targets crashed while running it: {}.",
                             table.keyPrefix(),
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/HistoryLostException.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/HistoryLostException.java
@@ -10,7 +10,7 @@
      *
      * @param revision the requested revision
      */
-    public HistoryLostException(long revision) {
-        super("the store no longer has the changes since revision " + revision);
+    public HistoryLostException(StoreRevision revision) {
+        super("the store no longer has the changes since revision " + revision.number() + " of era " + revision.era());
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/LeaseExpiredException.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/LeaseExpiredException.java
@@ -1,6 +1,6 @@
 package dev.bluebellshunt.relay.store;
 
-/** Thrown when a lease is unknown to the store because it has expired. */
+/** Thrown when a lease is unknown to the store because it has expired, or is of an earlier era. */
 public final class LeaseExpiredException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
@@ -8,9 +8,9 @@
     /**
      * Creates an exception.
      *
-     * @param lease the id of the lease
+     * @param lease the lease
      */
-    public LeaseExpiredException(long lease) {
-        super("the lease " + lease + " has expired");
+    public LeaseExpiredException(StoreLease lease) {
+        super("the lease " + lease.id() + " of era " + lease.era() + " has expired");
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorState.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorState.java
@@ -14,4 +14,6 @@
  *     first
  */
 public record OperatorState(
-        long revision, @Nullable RelayConfiguration configuration, Map<String, List<PublishedWeights>> weights) {}
+        StoreRevision revision,
+        @Nullable RelayConfiguration configuration,
+        Map<String, List<PublishedWeights>> weights) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -72,7 +72,9 @@
     private boolean reachable = true;
     private boolean initialized;
     private boolean following;
-    private long revision;
+    private StoreRevision revision = StoreRevision.NONE;
+    private long callNumber;
+    private long callEra;
     private Deadline nextCall;
     private Deadline publicationQueryEnd;
     private volatile @Nullable RelayConfiguration configuration;
@@ -90,7 +92,7 @@
      * @param asOfNanos the time as of which the copy was current
      */
     public record Snapshot(
-            long revision,
+            StoreRevision revision,
             @Nullable RelayConfiguration configuration,
             Map<String, DesiredWeights> weights,
             long asOfNanos) {}
@@ -123,20 +125,35 @@
 
     @Override
     public void tick() {
+        abandonCallOfEarlierEra();
         if (callInFlight || !nextCall.hasPassed(clock) || updateFollowing()) {
             return;
         }
         call();
     }
 
+    /**
+     * Cancels a call that was sent in an earlier era. Its response would come late, since a watch from a revision of that era
+     * waits for one that the store has assigned again.
+     */
+    private void abandonCallOfEarlierEra() {
+        if (callInFlight && store.era().number() != callEra) {
+            callInFlight = false;
+            fullReadNeeded = true;
+            callNumber++;
+            nextCall = new Deadline(clock.nanos());
+        }
+    }
+
     private boolean updateFollowing() {
         boolean followsPeer = initialized && mayFollowPeer.getAsBoolean() && age().compareTo(MAX_PEER_AGE) < 0;
         if (followsPeer != following) {
             following = followsPeer;
             log.info(
-                    "This VM {}; the operators' state is known up to revision {} and {} ms old.",
+                    "This VM {}; the operators' state is known up to revision {} of era {} and {} ms old.",
                     followsPeer ? "stops watching the store, since a hub does" : "watches the store, since no hub does",
-                    revision,
+                    revision.number(),
+                    revision.era(),
                     age().toMillis());
         }
         return followsPeer;
@@ -145,11 +162,22 @@
     private void call() {
         callInFlight = true;
         long sentNanos = clock.nanos();
+        callEra = store.era().number();
+        fullReadNeeded |= revision.era() != callEra;
+        long number = ++callNumber;
         boolean fullRead = fullReadNeeded;
         control.onCompletion(
                 fullRead ? store.readOperatorState() : store.awaitOperatorChange(revision, WATCH_TIMEOUT),
-                state -> onState(state, sentNanos, fullRead),
-                this::onFailure);
+                state -> {
+                    if (number == callNumber) {
+                        onState(state, sentNanos, fullRead);
+                    }
+                },
+                failure -> {
+                    if (number == callNumber) {
+                        onFailure(failure);
+                    }
+                });
     }
 
     private void onState(OperatorState state, long sentNanos, boolean fullRead) {
@@ -213,8 +241,18 @@
         weightsSnapshot = Map.copyOf(weights);
     }
 
-    private void adopt(long newRevision, @Nullable RelayConfiguration newConfiguration, long asOfNanos) {
-        revision = Math.max(revision, newRevision);
+    private void adopt(StoreRevision newRevision, @Nullable RelayConfiguration newConfiguration, long asOfNanos) {
+        revision = revision.later(newRevision);
+        adoptConfiguration(newConfiguration);
+        if (!initialized || asOfNanos - stateAsOfNanos > 0) {
+            stateAsOfNanos = asOfNanos;
+        }
+        initialized = true;
+        publishSnapshot();
+    }
+
+    /** Adopts a configuration unless that is older by version, whatever the revision at which the store shows it. */
+    private void adoptConfiguration(@Nullable RelayConfiguration newConfiguration) {
         RelayConfiguration current = configuration;
         if (newConfiguration != null && (current == null || newConfiguration.version() > current.version())) {
             configuration = newConfiguration;
@@ -223,11 +261,6 @@
                     newConfiguration.version(),
                     current == null ? "none" : current.version());
         }
-        if (!initialized || asOfNanos - stateAsOfNanos > 0) {
-            stateAsOfNanos = asOfNanos;
-        }
-        initialized = true;
-        publishSnapshot();
     }
 
     private void publishSnapshot() {
@@ -235,8 +268,8 @@
     }
 
     /**
-     * Adopts the state of another VM. Of a state that is older than the local copy, only what it says about the times of
-     * publications is used.
+     * Adopts the state of another VM. Of a state that is older than the local copy, only newer versions and what it says about
+     * the times of publications is used. A VM that read the store before its restore may know newer versions than the store.
      *
      * @param state the state, with times on the clock of this VM that are not later than the actual ones
      */
@@ -247,7 +280,9 @@
                     model,
                     initialized ? DesiredWeights.merge(known, stateAsOfNanos, desired, state.asOfNanos()) : desired);
         });
-        if (initialized && state.asOfNanos() - stateAsOfNanos <= 0) {
+        if (initialized
+                && (state.asOfNanos() - stateAsOfNanos <= 0 || state.revision().era() < revision.era())) {
+            adoptConfiguration(state.configuration());
             publishSnapshot();
             return;
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/PublishedWeights.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/PublishedWeights.java
@@ -6,4 +6,4 @@
  * @param version the version
  * @param revision the revision of the store at which it was written
  */
-public record PublishedWeights(long version, long revision) {}
+public record PublishedWeights(long version, StoreRevision revision) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/RegisteredTargets.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/RegisteredTargets.java
@@ -9,4 +9,4 @@
  * @param revision a revision of the store that was current while they were read
  * @param entries all well-formed entries
  */
-public record RegisteredTargets(long revision, List<TargetEntry> entries) {}
+public record RegisteredTargets(StoreRevision revision, List<TargetEntry> entries) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/SharedRecord.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/SharedRecord.java
@@ -7,4 +7,4 @@
  * @param value the value
  * @param revision the revision of the store at which the record was last changed
  */
-public record SharedRecord(String key, String value, long revision) {}
+public record SharedRecord(String key, String value, StoreRevision revision) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
@@ -3,18 +3,33 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * Key-value store shared by all VMs. Operations are linearizable unless stated otherwise.
  *
- * <p>Every future may complete exceptionally. A failed write may have taken effect, or may take effect later.
+ * <p>Every future may complete exceptionally. A failed write may have taken effect, or may take effect later. The store may be
+ * restored from an older copy, which begins a new era and undoes writes that it had confirmed. A write of the earlier era may
+ * then take effect in the new one, if its conditions hold again by chance.
  */
 public interface SharedStore {
 
-    /** Id that denotes no lease; records written with it do not expire. */
-    long NO_LEASE = 0;
+    /**
+     * Returns the eras of the store, as far as this process has heard of them. Thread-safe.
+     *
+     * @return the eras
+     */
+    StoreEras eras();
+
+    /**
+     * Returns the present era of the store. Thread-safe.
+     *
+     * @return the latest era that a response has stated
+     */
+    default StoreEra era() {
+        return eras().current();
+    }
 
     /**
      * Reads everything that operators have written.
@@ -28,9 +43,10 @@
      *
      * @param afterRevision the latest known revision
      * @param wait the timeout after which the store reports that nothing has changed
-     * @return the changes; fails with a {@link HistoryLostException} if the store no longer has them
+     * @return the changes; fails with a {@link HistoryLostException} if the store no longer has them, or is
+     *     in another era
      */
-    CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait);
+    CompletableFuture<OperatorState> awaitOperatorChange(StoreRevision afterRevision, Duration wait);
 
     /**
      * Reads the registered targets.
@@ -47,15 +63,23 @@
      */
     CompletableFuture<List<SharedRecord>> readRecords(String prefix);
 
+    /**
+     * Reads one record of the VMs.
+     *
+     * @param key the key
+     * @return the record, or empty if there is none
+     */
+    CompletableFuture<Optional<SharedRecord>> readRecord(String key);
+
     /**
      * Writes a record unconditionally.
      *
      * @param key the key
      * @param value the value
-     * @param lease the lease that the record is attached to, or {@link #NO_LEASE}
+     * @param lease the lease that the record is attached to, or {@link StoreLease#NONE}
      * @return completes after the write; fails with a {@link LeaseExpiredException} if the lease has expired
      */
-    CompletableFuture<Void> putRecord(String key, String value, long lease);
+    CompletableFuture<Void> putRecord(String key, String value, StoreLease lease);
 
     /**
      * Writes a record if the given records have the expected revisions.
@@ -63,32 +87,26 @@
      * @param key the key
      * @param value the value
      * @param lease the lease that the record is attached to
-     * @param expected the expected revisions by key, zero for a record that must not exist
-     * @return the revision of the write, or empty if a record did not have its expected revision
+     * @param expected the expected revisions by key, {@link StoreRevision#NONE} for a record that must not exist
+     * @return the revision of the write, or empty if a record did not have its expected revision, which includes
+     *     revisions of an earlier era
      */
-    CompletableFuture<OptionalLong> putRecordIf(String key, String value, long lease, Map<String, Long> expected);
+    CompletableFuture<Optional<StoreRevision>> putRecordIf(
+            String key, String value, StoreLease lease, Map<String, StoreRevision> expected);
 
     /**
      * Grants a lease, which starts when the store receives the call.
      *
      * @param duration the time after which the lease expires unless it is renewed
-     * @return the id of the lease
+     * @return the lease
      */
-    CompletableFuture<Long> grantLease(Duration duration);
+    CompletableFuture<StoreLease> grantLease(Duration duration);
 
     /**
      * Renews a lease.
      *
-     * @param lease the id of the lease
+     * @param lease the lease
      * @return completes after the renewal; fails with a {@link LeaseExpiredException} if the lease has expired
      */
-    CompletableFuture<Void> renewLease(long lease);
-
-    /**
-     * Revokes a lease, and deletes the records attached to it.
-     *
-     * @param lease the id of the lease
-     * @return completes after the deletion
-     */
-    CompletableFuture<Void> revokeLease(long lease);
+    CompletableFuture<Void> renewLease(StoreLease lease);
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetDirectory.java
@@ -32,8 +32,8 @@
     /** The maximum number of outages in a row that each give a missing target the time to register again. */
     static final int MAX_GRACES = 3;
 
-    /** The maximum number of targets that are remembered as leaving; the first one is forgotten first. */
-    private static final int MAX_LEFT_TARGETS = 4_096;
+    /** The maximum number of targets that are remembered as leaving, or as replaced; the first one is forgotten first. */
+    private static final int MAX_REMEMBERED_TARGETS = 4_096;
 
     private static final Logger log = LoggerFactory.getLogger("targets");
 
@@ -41,6 +41,7 @@
     private final Consumer<LiveTarget> endListener;
     private final Map<TargetEntry.Incarnation, Grace> missing = new HashMap<>();
     private final SequencedSet<TargetEntry.Incarnation> left = new LinkedHashSet<>();
+    private final SequencedSet<TargetEntry.Incarnation> replaced = new LinkedHashSet<>();
     private final Map<TargetEntry.Incarnation, LiveTarget> targets = new LinkedHashMap<>();
     private final Map<TargetEntry.Incarnation, TargetLoad> loads = new HashMap<>();
     private volatile TargetSnapshot snapshot = TargetSnapshot.EMPTY;
@@ -68,11 +69,19 @@
     /**
      * Replaces the registered targets by a full listing.
      *
-     * @param listing all entries in the store
+     * @param listed all entries in the store
      * @param asOfNanos the time as of which the listing was current
      * @param mayHaveExpired whether entries of running targets may have expired since the previous listing
      */
-    public void update(List<TargetEntry> listing, long asOfNanos, boolean mayHaveExpired) {
+    public void update(List<TargetEntry> listed, long asOfNanos, boolean mayHaveExpired) {
+        // A late write or a restored store may show a target that has ended in place of its successor.
+        List<TargetEntry> listing = listed.stream()
+                .filter(entry -> !replaced.contains(entry.incarnation()))
+                .toList();
+        updateFrom(listing, asOfNanos, mayHaveExpired);
+    }
+
+    private void updateFrom(List<TargetEntry> listing, long asOfNanos, boolean mayHaveExpired) {
         Map<TargetEntry.Incarnation, LiveTarget> previous = new LinkedHashMap<>(targets);
         previous.forEach((incarnation, target) -> {
             if (target.load().isLeaving()) {
@@ -105,6 +114,9 @@
                         target.entry().pool());
             } else {
                 missing.remove(incarnation);
+                if (isReplaced(target.entry(), listing)) {
+                    remember(incarnation, replaced);
+                }
                 if (!target.isLeaving()) {
                     endListener.accept(target);
                 }
@@ -131,9 +143,13 @@
     }
 
     private void rememberLeaving(TargetEntry.Incarnation incarnation) {
-        left.add(incarnation);
-        if (left.size() > MAX_LEFT_TARGETS) {
-            left.removeFirst();
+        remember(incarnation, left);
+    }
+
+    private static void remember(TargetEntry.Incarnation incarnation, SequencedSet<TargetEntry.Incarnation> ended) {
+        ended.add(incarnation);
+        if (ended.size() > MAX_REMEMBERED_TARGETS) {
+            ended.removeFirst();
         }
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetListSystem.java
@@ -52,9 +52,15 @@
      * @param asOfNanos the time as of which the listing was current
      * @param availableSinceNanos the time since which the store has been read so often that no entry of a running
      *     target can have expired
+     * @param era the era of the store in which it was read
      */
     public record Listing(
-            long number, long entriesNumber, List<TargetEntry> entries, long asOfNanos, long availableSinceNanos) {}
+            long number,
+            long entriesNumber,
+            List<TargetEntry> entries,
+            long asOfNanos,
+            long availableSinceNanos,
+            long era) {}
 
     private record LearnedListing(String process, long number) {}
 
@@ -111,11 +117,12 @@
                                 "The store has returned the registered targets again, {} ms after the last listing.",
                                 millisSinceListing(sentNanos));
                     }
-                    if (!isNewer(sentNanos)) {
+                    if (!isNewer(sentNanos, targets.revision().era())) {
                         return;
                     }
                     learned = null;
-                    update(targets.entries(), sentNanos, availableSince(sentNanos));
+                    long era = targets.revision().era();
+                    update(targets.entries(), sentNanos, availableSince(sentNanos, era), era);
                     directory
                             .graceEnd()
                             .ifPresent(end ->
@@ -132,9 +139,9 @@
                 });
     }
 
-    private boolean isNewer(long asOfNanos) {
+    private boolean isNewer(long asOfNanos, long era) {
         Listing latest = listing;
-        return latest == null || asOfNanos - latest.asOfNanos() > 0;
+        return latest == null || (era >= latest.era() && asOfNanos - latest.asOfNanos() > 0);
     }
 
     private long millisSinceListing(long nanos) {
@@ -150,9 +157,12 @@
     }
 
     /** Returns since when the store has been available, as far as the reads of this VM before a successful one show. */
-    private long availableSince(long sentNanos) {
+    private long availableSince(long sentNanos, long era) {
         Listing previous = listing;
-        if (previous == null || failedSinceListing || sentNanos - previous.asOfNanos() >= entryLifetime.toNanos()) {
+        if (previous == null
+                || era != previous.era()
+                || failedSinceListing
+                || sentNanos - previous.asOfNanos() >= entryLifetime.toNanos()) {
             return sentNanos;
         }
         return previous.availableSinceNanos();
@@ -168,18 +178,20 @@
         return storeFailed || latest == null || clock.nanos() - latest.asOfNanos() >= maxPeerAge.toNanos();
     }
 
-    private void update(List<TargetEntry> entries, long asOfNanos, long readerAvailableSinceNanos) {
+    private void update(List<TargetEntry> entries, long asOfNanos, long readerAvailableSinceNanos, long era) {
         Listing previous = listing;
         failedSinceListing = false;
         if (previous == null) {
-            listing = new Listing(1, 1, List.copyOf(entries), asOfNanos, readerAvailableSinceNanos);
+            listing = new Listing(1, 1, List.copyOf(entries), asOfNanos, readerAvailableSinceNanos, era);
             directory.update(entries, asOfNanos, false);
             return;
         }
         // Targets renew their entries at least every third of the lifetime, so none expires between closer reads.
         long maxGapNanos = entryLifetime.multipliedBy(2).dividedBy(3).toNanos();
-        boolean mayHaveExpired =
-                asOfNanos - previous.asOfNanos() >= maxGapNanos && readerAvailableSinceNanos - previous.asOfNanos() > 0;
+        // A restored store lacks the targets that have registered since the copy, until they register again.
+        boolean mayHaveExpired = era != previous.era()
+                || (asOfNanos - previous.asOfNanos() >= maxGapNanos
+                        && readerAvailableSinceNanos - previous.asOfNanos() > 0);
         long number = previous.number() + 1;
         listing = new Listing(
                 number,
@@ -188,7 +200,8 @@
                 asOfNanos,
                 mayHaveExpired
                         ? readerAvailableSinceNanos
-                        : earlier(previous.availableSinceNanos(), readerAvailableSinceNanos));
+                        : earlier(previous.availableSinceNanos(), readerAvailableSinceNanos),
+                era);
         directory.update(entries, asOfNanos, mayHaveExpired);
     }
 
@@ -205,17 +218,19 @@
      * @param asOfNanos the time as of which the listing was current, on the clock of this VM
      * @param availableSinceNanos the time since which the store has been available to that process without an outage,
      *     on the clock of this VM, and not understated
+     * @param era the era of the store in which it was read
      */
     public void learn(
             String process,
             long number,
             @Nullable List<TargetEntry> entries,
             long asOfNanos,
-            long availableSinceNanos) {
+            long availableSinceNanos,
+            long era) {
         Listing previous = listing;
         LearnedListing last = learned != null && learned.process().equals(process) ? learned : null;
         boolean known = last != null && last.number() == number;
-        if (known || !isNewer(asOfNanos)) {
+        if (known || !isNewer(asOfNanos, era)) {
             return;
         }
         List<TargetEntry> adopted = entries;
@@ -226,7 +241,7 @@
             adopted = previous.entries();
         }
         learned = new LearnedListing(process, number);
-        update(adopted, asOfNanos, availableSinceNanos);
+        update(adopted, asOfNanos, availableSinceNanos, era);
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -81,6 +81,14 @@
             .name("bluebellshunt_relay_other_hubs")
             .help("The other hubs that this VM knows.")
             .register(registry);
+    private final Gauge storeEra = Gauge.builder()
+            .name("bluebellshunt_relay_store_era")
+            .help("The era of the store, which rises with each restore; 0 if the store states none.")
+            .register(registry);
+    private final Gauge doubtfulStoreResponses = Gauge.builder()
+            .name("bluebellshunt_relay_doubtful_store_responses")
+            .help("Responses of the store that were not used because of the era that they stated.")
+            .register(registry);
     private final Gauge bodyBytes = Gauge.builder()
             .name("bluebellshunt_relay_body_bytes")
             .help("Memory for the bodies of open requests and their responses.")
@@ -184,6 +192,17 @@
         otherHubs.set(hubs);
     }
 
+    /**
+     * Records the era of the store.
+     *
+     * @param era the era
+     * @param doubtfulResponses the number of responses that were not used because of their era
+     */
+    public void store(long era, long doubtfulResponses) {
+        storeEra.set(era);
+        doubtfulStoreResponses.set(doubtfulResponses);
+    }
+
     /**
      * Records the memory for bodies that is in use.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
@@ -1,13 +1,19 @@
 package dev.bluebellshunt.relay.weights;
 
+import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.core.control.ControlExecutor;
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.store.LeaseExpiredException;
+import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.store.StoreEra;
+import dev.bluebellshunt.relay.store.StoreLease;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,6 +28,13 @@
  * between the orders of two holders plus {@link #ORDER_DELIVERY_MARGIN}, and no VM can become the holder while the
  * record exists. The successor of an idle holder can therefore start immediately.
  *
+ * <p>A restore of the store ends the lease. The holder of the earlier era may not know of it yet, so the holder in a new era sends
+ * no order until the window and the minimum interval have passed since its process first heard of that era; what the earlier
+ * holder was granted, it was granted before. A process that starts later learns from the settled record that they have passed.
+ * A write of the earlier era may take effect in the new one, since its conditions name revisions that are assigned again. So the
+ * records name VM, era and lease, the holder reads its records back at each renewal, and a record that names an earlier era
+ * does not keep a VM from becoming the holder.
+ *
  * <p>Once the holder record has expired by the clock of this VM, no order is sent and the ordering record is not
  * renewed until the store has confirmed the holder record: it may have been lost, and the ordering record of a VM that
  * is no longer the holder would only delay the next one. Confined to the control thread.
@@ -42,7 +55,10 @@
 
     private static final String HOLDER_KEY = "bluebellshunt/holder";
     private static final String ORDERING_KEY = "bluebellshunt/ordering";
-    private static final long ABSENT_REVISION = 0;
+
+    /** Names the latest era in which a VM may send orders as soon as it is the holder. */
+    private static final String SETTLED_KEY = "bluebellshunt/settled-era";
+
     private static final Logger log = LoggerFactory.getLogger("weights");
 
     private final SharedStore store;
@@ -50,10 +66,14 @@
     private final MonotonicClock clock;
     private final String vm;
     private final Duration orderingTtl;
-    private long holderLease = SharedStore.NO_LEASE;
-    private long orderingLease = SharedStore.NO_LEASE;
-    private long writtenOrderingLease = SharedStore.NO_LEASE;
+    private StoreLease holderLease = StoreLease.NONE;
+    private StoreLease orderingLease = StoreLease.NONE;
+    private StoreLease writtenOrderingLease = StoreLease.NONE;
+    private StoreRevision holderRevision = StoreRevision.NONE;
+    private String identity = "";
     private long fencingToken;
+    private long settledEra;
+    private long publishedEra;
     private boolean holderCallPending;
     private boolean orderingCallPending;
     private Deadline nextHolderRenewal;
@@ -80,7 +100,11 @@
     }
 
     boolean isHeld() {
-        return holderLease != SharedStore.NO_LEASE;
+        return !holderLease.equals(StoreLease.NONE) && isOfPresentEra(holderLease);
+    }
+
+    private boolean isOfPresentEra(StoreLease lease) {
+        return lease.era() == store.era().number();
     }
 
     /** Returns whether this VM holds the lease and the holder record has not expired by the clock of this VM. */
@@ -90,7 +114,17 @@
 
     /** Returns whether this VM may send an order now. */
     boolean maySendOrders() {
-        return isUnexpired() && !orderDeadline.hasPassed(clock);
+        return isUnexpired() && !orderDeadline.hasPassed(clock) && isEraSettled();
+    }
+
+    /** Returns whether no holder of an earlier era can send orders any more, and the minimum interval has passed since. */
+    private boolean isEraSettled() {
+        StoreEra era = store.era();
+        return !era.isStated() || settledEra == era.number() || hasEraSettled(era);
+    }
+
+    private boolean hasEraSettled(StoreEra era) {
+        return new Deadline(era.seenNanos() + orderingTtl.toNanos()).hasPassed(clock);
     }
 
     /** Returns the fencing token, which increases with each holder. */
@@ -103,19 +137,17 @@
         if (holderCallPending) {
             return;
         }
+        if (!holderLease.equals(StoreLease.NONE)) {
+            log.info("Lost the rollout lease: the store was restored.");
+            relinquish();
+        }
         holderCallPending = true;
         long sentNanos = clock.nanos();
         control.onCompletion(
                 writeHolderRecord(),
                 written -> {
                     holderCallPending = false;
-                    if (written.revision().isPresent()) {
-                        holderLease = written.lease();
-                        fencingToken = written.revision().getAsLong();
-                        holderExpiry = new Deadline(sentNanos + HOLDER_TTL.toNanos());
-                        nextHolderRenewal = new Deadline(sentNanos + RENEWAL_INTERVAL.toNanos());
-                        log.info("Acquired the rollout lease with fencing token {}.", fencingToken);
-                    }
+                    written.revision().ifPresent(revision -> onAcquired(written.lease(), revision, sentNanos));
                 },
                 failure -> {
                     holderCallPending = false;
@@ -123,18 +155,71 @@
                 });
     }
 
+    private void onAcquired(StoreLease lease, StoreRevision revision, long sentNanos) {
+        try {
+            fencingToken = revision.rising();
+        } catch (ArithmeticException e) {
+            log.error("Not using the rollout lease: no fencing token can be derived from {}.", revision);
+            return;
+        }
+        holderLease = lease;
+        holderRevision = revision;
+        identity = identity(lease);
+        holderExpiry = new Deadline(sentNanos + HOLDER_TTL.toNanos());
+        nextHolderRenewal = new Deadline(sentNanos + RENEWAL_INTERVAL.toNanos());
+        log.info(
+                "Acquired the rollout lease at revision {} of era {} with fencing token {}.",
+                revision.number(),
+                revision.era(),
+                fencingToken);
+        if (!isEraSettled()) {
+            readSettledEra();
+        }
+    }
+
+    private void readSettledEra() {
+        control.onCompletion(
+                store.readRecord(SETTLED_KEY),
+                found -> found.ifPresent(settled -> {
+                    if (settled.value().equals(Long.toString(settled.revision().era()))) {
+                        settledEra = settled.revision().era();
+                    }
+                }),
+                failure -> log.debug("Could not read the settled era: {}", failure.toString()));
+    }
+
+    /** Writes the present era to the settled record once it has settled. */
+    private void publishSettledEra() {
+        StoreEra era = store.era();
+        if (!era.isStated() || publishedEra == era.number() || settledEra == era.number() || !hasEraSettled(era)) {
+            return;
+        }
+        publishedEra = era.number();
+        control.onCompletion(
+                store.putRecord(SETTLED_KEY, Long.toString(era.number()), StoreLease.NONE),
+                done -> {},
+                failure -> log.debug("Could not publish the settled era: {}", failure.toString()));
+    }
+
     /** Renews the holder record if its renewal is due. */
     void renewIfDue() {
         if (holderCallPending || !nextHolderRenewal.hasPassed(clock)) {
             return;
         }
+        publishSettledEra();
         holderCallPending = true;
         long sentNanos = clock.nanos();
         nextHolderRenewal = Deadline.after(clock, RENEWAL_INTERVAL);
+        StoreLease lease = holderLease;
         control.onCompletion(
-                store.renewLease(holderLease),
-                renewed -> {
+                store.renewLease(lease).thenCompose(renewed -> namesThisHolder(HOLDER_KEY, lease, identity)),
+                confirmed -> {
                     holderCallPending = false;
+                    if (!confirmed) {
+                        log.warn("Lost the rollout lease: the holder record names another holder.");
+                        relinquish();
+                        return;
+                    }
                     holderExpiry = new Deadline(sentNanos + HOLDER_TTL.toNanos());
                 },
                 failure -> {
@@ -157,32 +242,56 @@
         orderingCallPending = true;
         long sentNanos = clock.nanos();
         nextOrderingRenewal = Deadline.after(clock, RENEWAL_INTERVAL);
-        long lease = orderingLease;
+        StoreLease lease = orderingLease;
+        boolean written = lease.equals(writtenOrderingLease);
         control.onCompletion(
-                lease == SharedStore.NO_LEASE
-                        ? store.grantLease(orderingTtl)
-                        : store.renewLease(lease).thenApply(renewed -> lease),
-                renewed -> onOrderingLeaseRenewed(renewed, sentNanos),
+                lease.equals(StoreLease.NONE)
+                        ? store.grantLease(orderingTtl).thenApply(granted -> new OrderingRenewal(granted, false))
+                        : store.renewLease(lease)
+                                .thenCompose(renewed -> written
+                                        ? namesThisHolder(ORDERING_KEY, lease, identity)
+                                        : CompletableFuture.completedFuture(false))
+                                .thenApply(confirmed -> new OrderingRenewal(lease, confirmed)),
+                renewal -> onOrderingLeaseRenewed(renewal, sentNanos),
                 this::onOrderingFailed);
     }
 
+    /**
+     * Reads whether a record still names this holder. A write of an earlier era may have replaced it, which a store that states
+     * no era rules out.
+     */
+    private CompletableFuture<Boolean> namesThisHolder(String key, StoreLease lease, String value) {
+        if (lease.era() == StoreRevision.NO_ERA) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return store.readRecord(key)
+                .thenApply(found -> found.isPresent()
+                        && found.get().value().equals(value)
+                        && found.get().revision().era() == lease.era());
+    }
+
     /**
      * Writes the ordering record unless the store has confirmed it. All attempts use the same lease: an attempt under
      * another one that is executed late would make the record expire while this VM renews the other lease.
      */
-    private void onOrderingLeaseRenewed(long lease, long sentNanos) {
-        if (!isHeld()) {
+    private void onOrderingLeaseRenewed(OrderingRenewal renewal, long sentNanos) {
+        StoreLease lease = renewal.lease();
+        if (!isHeld() || !isOfPresentEra(lease)) {
             orderingCallPending = false;
             return;
         }
         orderingLease = lease;
-        if (lease == writtenOrderingLease) {
+        if (renewal.confirmed()) {
             onOrderingWritten(sentNanos);
             return;
         }
         control.onCompletion(
-                store.putRecordIf(ORDERING_KEY, vm, lease, Map.of(HOLDER_KEY, fencingToken)),
+                store.putRecordIf(ORDERING_KEY, identity, lease, Map.of(HOLDER_KEY, holderRevision)),
                 revision -> {
+                    if (!isOfPresentEra(lease)) {
+                        orderingCallPending = false;
+                        return;
+                    }
                     if (revision.isEmpty()) {
                         orderingCallPending = false;
                         log.info("Lost the rollout lease: another VM has become the holder.");
@@ -203,27 +312,79 @@
     private void onOrderingFailed(Throwable failure) {
         orderingCallPending = false;
         if (failure instanceof LeaseExpiredException) {
-            orderingLease = SharedStore.NO_LEASE;
+            orderingLease = StoreLease.NONE;
             nextOrderingRenewal = new Deadline(clock.nanos());
         }
         log.debug("Failed to write or renew the ordering record: {}", failure.toString());
     }
 
+    /** A write that fails leaves its lease to expire: a revocation that is executed late may end a lease of a later era. */
     private CompletableFuture<LeasedWrite> writeHolderRecord() {
-        Map<String, Long> noHolder = Map.of(HOLDER_KEY, ABSENT_REVISION, ORDERING_KEY, ABSENT_REVISION);
+        Map<String, StoreRevision> noHolder = Map.of(HOLDER_KEY, StoreRevision.NONE, ORDERING_KEY, StoreRevision.NONE);
         return store.grantLease(HOLDER_TTL)
-                .thenCompose(lease -> store.putRecordIf(HOLDER_KEY, vm, lease, noHolder)
-                        .thenCompose(revision -> revision.isPresent()
-                                ? CompletableFuture.completedFuture(new LeasedWrite(lease, revision))
-                                : store.revokeLease(lease).thenApply(revoked -> new LeasedWrite(lease, revision))));
+                .thenCompose(lease -> writeHolderRecord(lease, noHolder)
+                        .thenCompose(written -> written.revision().isPresent() || lease.era() == StoreRevision.NO_ERA
+                                ? CompletableFuture.completedFuture(written)
+                                : replaceRecordsOfEarlierEras(lease)));
+    }
+
+    private CompletableFuture<LeasedWrite> writeHolderRecord(StoreLease lease, Map<String, StoreRevision> expected) {
+        return store.putRecordIf(HOLDER_KEY, identity(lease), lease, expected)
+                .thenApply(revision -> new LeasedWrite(lease, revision));
+    }
+
+    private CompletableFuture<LeasedWrite> replaceRecordsOfEarlierEras(StoreLease lease) {
+        return store.readRecord(HOLDER_KEY)
+                .thenCombine(store.readRecord(ORDERING_KEY), (holder, ordering) -> {
+                    Map<String, StoreRevision> expected = new HashMap<>();
+                    addReplaceable(HOLDER_KEY, holder, lease.era(), expected);
+                    addReplaceable(ORDERING_KEY, ordering, lease.era(), expected);
+                    return expected;
+                })
+                .thenCompose(expected -> expected.size() == 2
+                        ? writeHolderRecord(lease, expected)
+                        : CompletableFuture.completedFuture(new LeasedWrite(lease, Optional.empty())));
+    }
+
+    /** Adds the revision at which a record may be replaced, if it is absent or names an earlier era. */
+    private static void addReplaceable(
+            String key, Optional<SharedRecord> found, long era, Map<String, StoreRevision> replaceable) {
+        if (found.isEmpty()) {
+            replaceable.put(key, StoreRevision.NONE);
+            return;
+        }
+        try {
+            long named = Json.read(found.get().value(), HolderIdentity.class).era();
+            if (named != StoreRevision.NO_ERA && named < era) {
+                replaceable.put(key, found.get().revision());
+            }
+        } catch (IllegalArgumentException e) {
+            log.debug("Record {} names no era: {}", key, e.getMessage());
+        }
+    }
+
+    /** Returns what the records of a lease name: the VM only in a store that states no era, as in older versions. */
+    private String identity(StoreLease lease) {
+        return lease.era() == StoreRevision.NO_ERA ? vm : Json.write(new HolderIdentity(vm, lease.era(), lease.id()));
     }
 
     /** Gives up the lease locally after it expired or a later holder was observed. The store is not changed. */
     void relinquish() {
-        holderLease = SharedStore.NO_LEASE;
-        orderingLease = SharedStore.NO_LEASE;
+        holderLease = StoreLease.NONE;
+        orderingLease = StoreLease.NONE;
         orderDeadline = new Deadline(clock.nanos());
     }
 
-    private record LeasedWrite(long lease, OptionalLong revision) {}
+    /**
+     * What the records of the lease name.
+     *
+     * @param vm the name of the holder
+     * @param era the era of the store in which the lease was granted
+     * @param lease the id of the lease of the holder record, which no other holder of the era has
+     */
+    private record HolderIdentity(String vm, long era, long lease) {}
+
+    private record OrderingRenewal(StoreLease lease, boolean confirmed) {}
+
+    private record LeasedWrite(StoreLease lease, Optional<StoreRevision> revision) {}
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -20,6 +20,7 @@
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import dev.bluebellshunt.relay.testing.TestHeaderCodec;
 import dev.bluebellshunt.relay.weights.EngineControl;
@@ -140,7 +141,7 @@
                 Map.of(),
                 List.of(),
                 CallerLimits.DEFAULT);
-        store.publish(new OperatorState(0, configuration, Map.of()));
+        store.publish(new OperatorState(StoreRevision.NONE, configuration, Map.of()));
     }
 
     /** Registers the target with a start time, as after a restart under the same id. */
--- a/relay/src/test/java/dev/bluebellshunt/relay/cache/PromptCacheStoreIndexTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/cache/PromptCacheStoreIndexTests.java
@@ -9,6 +9,7 @@
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.RevisionTimes;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.testing.Configurations;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
@@ -146,7 +147,8 @@
         };
         step.run();
         assertThat("no store is configured", requestedSince, hasSize(0));
-        shared.publish(new OperatorState(0, Configurations.withCacheStore(1, ADDRESS), java.util.Map.of()));
+        shared.publish(
+                new OperatorState(StoreRevision.NONE, Configurations.withCacheStore(1, ADDRESS), java.util.Map.of()));
         step.run();
         responses.getLast().complete(changeBatch(7, true, "root", "subject"));
         step.run();
--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
@@ -15,6 +15,7 @@
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedRecord;
+import dev.bluebellshunt.relay.store.StoreLease;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
 import java.util.List;
@@ -34,8 +35,7 @@
     private final CurrentTopology topology = new CurrentTopology(clock);
 
     private void put(String vm, String value) {
-        store.putRecord(FleetSystem.KEY_PREFIX + vm, value, FakeSharedStore.NO_LEASE)
-                .join();
+        store.putRecord(FleetSystem.KEY_PREFIX + vm, value, StoreLease.NONE).join();
     }
 
     private FleetSystem newSystem() {
@@ -82,7 +82,7 @@
             })
     void malformedRecordIsIgnored(String odd) {
         put("odd", odd);
-        put("other", Json.write(new VmRecord("other", "fd", "127.0.0.1:7", 1, Map.of())));
+        put("other", Json.write(new VmRecord("other", "fd", "127.0.0.1:7", 1, Map.of(), 0)));
         FleetSystem system = newSystem();
         for (int i = 0; i < 4; i++) {
             system.tick();
@@ -111,7 +111,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"a-vm", "z-vm"})
     void sizeOfFleetIsPublishedByFirstVmAndOutlivesAllRecords(String other) {
-        put(other, Json.write(new VmRecord(other, "fd", "127.0.0.1:7", 1, Map.of())));
+        put(other, Json.write(new VmRecord(other, "fd", "127.0.0.1:7", 1, Map.of(), 0)));
         FleetSystem system = newSystem();
         run(system, FleetSystem.LEASE_DURATION);
         assertThat("before all VMs have registered", sizes(), hasSize(0));
@@ -122,7 +122,7 @@
 
     @Test
     void malformedSizeOfFleetIsIgnored() {
-        store.putRecord(FleetSize.KEY, "many", FakeSharedStore.NO_LEASE).join();
+        store.putRecord(FleetSize.KEY, "many", StoreLease.NONE).join();
         run(newSystem(), Duration.ofSeconds(1));
         assertThat(topology.isHub(), is(true));
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetTopologyTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetTopologyTests.java
@@ -24,7 +24,7 @@
         for (int i = 0; i < count; i++) {
             String domain = "fd-" + i % DOMAINS;
             double capacity = i < 3 * DOMAINS ? 1.5 : 0.36;
-            records.add(new VmRecord("vm-" + i, domain, domain + ".vm-" + i + ":80", capacity, Map.of()));
+            records.add(new VmRecord("vm-" + i, domain, domain + ".vm-" + i + ":80", capacity, Map.of(), 0));
         }
         return records;
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/ConfigurationFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/ConfigurationFleetTests.java
@@ -5,6 +5,7 @@
 
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.testing.Configurations;
 import java.time.Duration;
 import java.util.Arrays;
@@ -52,7 +53,8 @@
 
     private void publish() {
         publishedVersions.put(fleet.clock.nanos(), ++version);
-        fleet.store.publish(new OperatorState(0, Configurations.withTokenLimit(version, RATE, BURST), Map.of()));
+        fleet.store.publish(
+                new OperatorState(StoreRevision.NONE, Configurations.withTokenLimit(version, RATE, BURST), Map.of()));
     }
 
     private long versionAt(long nanos) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
@@ -13,6 +13,7 @@
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.testing.Configurations;
 import java.time.Duration;
@@ -59,7 +60,8 @@
 
     private void publishVersion(long version) {
         versions.put(fleet.clock.nanos(), version);
-        fleet.store.publish(new OperatorState(0, Configurations.withTokenLimit(version, RATE, BURST), Map.of()));
+        fleet.store.publish(
+                new OperatorState(StoreRevision.NONE, Configurations.withTokenLimit(version, RATE, BURST), Map.of()));
     }
 
     private void publishTargets(int count) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
@@ -7,6 +7,7 @@
 
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.testing.Configurations;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -36,7 +37,8 @@
 
     private void startFleet(int size, long seed) {
         fleet = new SimulatedFleet(size, seed);
-        fleet.store.publish(new OperatorState(0, Configurations.withTokenLimit(1, RATE, BURST), Map.of()));
+        fleet.store.publish(
+                new OperatorState(StoreRevision.NONE, Configurations.withTokenLimit(1, RATE, BURST), Map.of()));
         fleet.run(Duration.ofSeconds(15));
         window.clear();
         inWindow = 0;
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -16,11 +16,15 @@
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.store.StoreEras;
+import dev.bluebellshunt.relay.store.StoreLease;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.LoadedWeights;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.target.TargetListSystem;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
+import dev.bluebellshunt.relay.testing.FakeStoreClient;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -28,7 +32,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -294,6 +298,12 @@
     /** Connection of one VM to the store, which may refuse that VM. */
     final class RefusingStore implements SharedStore {
         boolean refuses;
+        private final FakeStoreClient client = new FakeStoreClient(store, clock);
+
+        @Override
+        public StoreEras eras() {
+            return client.eras();
+        }
 
         private <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> call) {
             return refuses
@@ -328,10 +338,10 @@
         @Override
         public CompletableFuture<OperatorState> readOperatorState() {
             if (maxStoreDelay.isZero()) {
-                return call(store::readOperatorState);
+                return call(client::readOperatorState);
             }
-            return delayed(store::readOperatorState)
-                    .thenCompose(first -> delayed(store::readOperatorState).thenApply(second -> {
+            return delayed(client::readOperatorState)
+                    .thenCompose(first -> delayed(client::readOperatorState).thenApply(second -> {
                         Map<String, List<PublishedWeights>> weights = new HashMap<>(second.weights());
                         first.weights().keySet().stream()
                                 .sorted()
@@ -345,12 +355,12 @@
         /** A watch whose response can't reach this VM fails at its timeout. */
         @Override
         @SuppressWarnings("FutureReturnValueIgnored") // the response reports the failure
-        public CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait) {
+        public CompletableFuture<OperatorState> awaitOperatorChange(StoreRevision afterRevision, Duration wait) {
             CompletableFuture<OperatorState> response = new CompletableFuture<>();
             schedule(
                     wait.plus(STORE_CALL_TIMEOUT),
                     () -> response.completeExceptionally(new IllegalStateException("timeout")));
-            delayed(() -> store.awaitOperatorChange(afterRevision, wait)).whenComplete((state, failure) -> {
+            delayed(() -> client.awaitOperatorChange(afterRevision, wait)).whenComplete((state, failure) -> {
                 if (failure != null) {
                     response.completeExceptionally(failure);
                 } else if (!refuses) {
@@ -362,38 +372,38 @@
 
         @Override
         public CompletableFuture<RegisteredTargets> readTargets() {
-            return delayed(store::readTargets);
+            return delayed(client::readTargets);
         }
 
         @Override
         public CompletableFuture<List<SharedRecord>> readRecords(String prefix) {
-            return call(() -> maxListingAge.isZero() ? store.readRecords(prefix) : pastListing(prefix));
+            return call(() -> maxListingAge.isZero() ? client.readRecords(prefix) : pastListing(prefix));
         }
 
         @Override
-        public CompletableFuture<Void> putRecord(String key, String value, long lease) {
-            return call(() -> store.putRecord(key, value, lease));
+        public CompletableFuture<Optional<SharedRecord>> readRecord(String key) {
+            return call(() -> client.readRecord(key));
         }
 
         @Override
-        public CompletableFuture<OptionalLong> putRecordIf(
-                String key, String value, long lease, Map<String, Long> expected) {
-            return call(() -> store.putRecordIf(key, value, lease, expected));
+        public CompletableFuture<Void> putRecord(String key, String value, StoreLease lease) {
+            return call(() -> client.putRecord(key, value, lease));
         }
 
         @Override
-        public CompletableFuture<Long> grantLease(Duration duration) {
-            return call(() -> store.grantLease(duration));
+        public CompletableFuture<Optional<StoreRevision>> putRecordIf(
+                String key, String value, StoreLease lease, Map<String, StoreRevision> expected) {
+            return call(() -> client.putRecordIf(key, value, lease, expected));
         }
 
         @Override
-        public CompletableFuture<Void> renewLease(long lease) {
-            return call(() -> store.renewLease(lease));
+        public CompletableFuture<StoreLease> grantLease(Duration duration) {
+            return call(() -> client.grantLease(duration));
         }
 
         @Override
-        public CompletableFuture<Void> revokeLease(long lease) {
-            return call(() -> store.revokeLease(lease));
+        public CompletableFuture<Void> renewLease(StoreLease lease) {
+            return call(() -> client.renewLease(lease));
         }
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -17,6 +17,7 @@
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.RevisionTimes;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
@@ -315,7 +316,7 @@
     }
 
     void publish(RelayConfiguration configuration) {
-        store.publish(new OperatorState(0, configuration, Map.of()));
+        store.publish(new OperatorState(StoreRevision.NONE, configuration, Map.of()));
     }
 
     private static List<RelayRoute> defaultRoutes() {
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/CacheDomainTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/CacheDomainTests.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -29,7 +30,7 @@
                 Map.of("secret", "w", "other-secret", "w2"),
                 List.of(),
                 CallerLimits.DEFAULT);
-        store.publish(new OperatorState(0, configuration, Map.of()));
+        store.publish(new OperatorState(StoreRevision.NONE, configuration, Map.of()));
         operators.tick();
         control.runAll();
     }
--- a/relay/src/test/java/dev/bluebellshunt/relay/quarantine/CrashingRequestFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/quarantine/CrashingRequestFleetTests.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.core.retry.CrashSuspects;
 import dev.bluebellshunt.core.testing.ManualClock;
 import dev.bluebellshunt.core.testing.ManualControlExecutor;
+import dev.bluebellshunt.relay.store.StoreLease;
 import dev.bluebellshunt.relay.testing.FakeSharedStore;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -159,11 +160,11 @@
                 "{\"crashes\":{\"7\":{\"t\":null}}}"
             })
     void malformedRecordIsIgnored(String malformed) {
-        store.putRecord(KEY_PREFIX + "a", malformed, FakeSharedStore.NO_LEASE).join();
+        store.putRecord(KEY_PREFIX + "a", malformed, StoreLease.NONE).join();
         store.putRecord(
                         KEY_PREFIX + "b",
                         "{\"crashes\":{\"9\":{\"t1\":\"fd\",\"t2\":\"fd\",\"t3\":\"fd\"}}}",
-                        FakeSharedStore.NO_LEASE)
+                        StoreLease.NONE)
                 .join();
         startVms(1);
         exchangeReports(0);
--- a/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
@@ -36,7 +36,7 @@
     }
 
     private void publish(long version) {
-        store.publish(new OperatorState(0, Configurations.withVersion(version), Map.of()));
+        store.publish(new OperatorState(StoreRevision.NONE, Configurations.withVersion(version), Map.of()));
         control.runAll();
     }
 
@@ -79,7 +79,7 @@
         publish(1);
         runTick();
         store.discardHistory();
-        store.publish(new OperatorState(0, Configurations.withVersion(9), Map.of()));
+        store.publish(new OperatorState(StoreRevision.NONE, Configurations.withVersion(9), Map.of()));
         control.runAll();
         runTick();
         assertThat(version(), equalTo(9L));
@@ -229,7 +229,8 @@
             @Nullable RelayConfiguration configuration,
             Map<String, DesiredWeights> weights,
             long asOfNanos) {
-        return new OperatorStateSystem.Snapshot(revision, configuration, weights, asOfNanos);
+        return new OperatorStateSystem.Snapshot(
+                new StoreRevision(StoreRevision.NO_ERA, revision), configuration, weights, asOfNanos);
     }
 
     private OperatorStateSystem member() {
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
@@ -41,7 +41,7 @@
 
     /** Adopts a listing that is read now, by a process to which the store has been available for some time. */
     private void learn(String process, long number, List<TargetEntry> entries, Duration available) {
-        system.learn(process, number, entries, clock.nanos(), clock.nanos() - available.toNanos());
+        system.learn(process, number, entries, clock.nanos(), clock.nanos() - available.toNanos(), 0);
     }
 
     /** Reads the store now, and whenever it is due within some time. */
@@ -127,9 +127,9 @@
         learn("hub/1", 1, ONE_TARGET, Duration.ZERO);
         long asOfNanos = system.listing().orElseThrow().asOfNanos();
         clock.advance(Duration.ofMillis(500));
-        system.learn("other-hub/1", 1, null, clock.nanos(), clock.nanos());
+        system.learn("other-hub/1", 1, null, clock.nanos(), clock.nanos(), 0);
         assertThat(system.listing().orElseThrow().asOfNanos(), equalTo(asOfNanos));
-        system.learn("hub/1", 2, null, clock.nanos(), clock.nanos());
+        system.learn("hub/1", 2, null, clock.nanos(), clock.nanos(), 0);
         assertThat(system.listing().orElseThrow().asOfNanos(), equalTo(clock.nanos()));
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -10,21 +10,26 @@
 import dev.bluebellshunt.relay.store.RegisteredTargets;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
+import dev.bluebellshunt.relay.store.StoreEras;
+import dev.bluebellshunt.relay.store.StoreLease;
+import dev.bluebellshunt.relay.store.StoreRevision;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
- * In-memory store shared by the VMs of a test, which can simulate outages, lost responses and lost history.
+ * In-memory store shared by the VMs of a test, which can simulate outages, lost responses, lost history and a restore from an
+ * older copy.
  *
- * <p>Thread-safe.
+ * <p>It takes revisions and leases of any era as if they were its own, as the real store does; {@link FakeStoreClient} is a
+ * client that knows eras. Thread-safe.
  */
 public final class FakeSharedStore implements SharedStore {
 
@@ -68,10 +73,73 @@
     private boolean historyDiscarded;
     private int callCount;
 
+    private final StoreEras eras;
+    private long era;
+    private Runnable restoreCopy = () -> {};
+
     private record Watch(long afterRevision, CompletableFuture<OperatorState> response) {}
 
     public FakeSharedStore(MonotonicClock clock) {
         this.clock = clock;
+        this.eras = new StoreEras(clock);
+        keepCopy();
+    }
+
+    /** Lets the store state its eras, beginning with the first one. */
+    public synchronized void stateEras() {
+        era = 1;
+    }
+
+    /** Returns the era that the store states, zero if it states none. */
+    public synchronized long statedEra() {
+        return era;
+    }
+
+    /** Keeps a copy of the present state for the next restore. */
+    public synchronized void keepCopy() {
+        Map<String, StoredRecord> copiedRecords = new TreeMap<>(records);
+        Map<Long, Lease> copiedLeases = new HashMap<>(leases);
+        Map<String, List<PublishedWeights>> copiedWeights = new HashMap<>();
+        weights.forEach((model, versions) -> copiedWeights.put(model, new ArrayList<>(versions)));
+        RelayConfiguration copiedConfiguration = configuration;
+        long copiedConfigurationRevision = configurationRevision;
+        List<TargetEntry> copiedTargets = targets;
+        long copiedRevision = revision;
+        long copiedNextLease = nextLease;
+        restoreCopy = () -> {
+            records.clear();
+            records.putAll(copiedRecords);
+            leases.clear();
+            leases.putAll(copiedLeases);
+            weights.clear();
+            copiedWeights.forEach((model, versions) -> weights.put(model, new ArrayList<>(versions)));
+            configuration = copiedConfiguration;
+            configurationRevision = copiedConfigurationRevision;
+            targets = copiedTargets;
+            revision = copiedRevision;
+            nextLease = copiedNextLease;
+        };
+    }
+
+    /** Restores the latest copy, which begins the next era. Pending watches are never answered. */
+    public synchronized void restore() {
+        restoreCopy.run();
+        watches.clear();
+        era++;
+    }
+
+    /** Writes a record as a call of an earlier era does that is executed late, if the lease id exists. */
+    public synchronized void writeLate(String key, String value, long leaseId, Map<String, StoreRevision> expected) {
+        putRecordIf(key, value, new StoreLease(era, leaseId), expected).join();
+    }
+
+    private StoreRevision at(long number) {
+        return new StoreRevision(era, number);
+    }
+
+    @Override
+    public StoreEras eras() {
+        return eras;
     }
 
     public void setMode(Mode next) {
@@ -83,7 +151,7 @@
         List<Watch> pending = List.copyOf(watches);
         watches.clear();
         pending.forEach(
-                watch -> watch.response().completeExceptionally(new HistoryLostException(watch.afterRevision())));
+                watch -> watch.response().completeExceptionally(new HistoryLostException(at(watch.afterRevision()))));
     }
 
     /** Executes the writes whose calls have failed in mode {@link Mode#WRITES_LATE}, as far as they still apply. */
@@ -118,20 +186,23 @@
 
     /** Publishes a version of a model's weights, and completes the pending watches with it. */
     public synchronized void publishWeights(String model, long version) {
-        publish(new OperatorState(0, null, Map.of(model, List.of(new PublishedWeights(version, revision + 1)))));
+        publish(new OperatorState(
+                StoreRevision.NONE, null, Map.of(model, List.of(new PublishedWeights(version, at(revision + 1))))));
     }
 
     private OperatorState changesSince(long afterRevision) {
         Map<String, List<PublishedWeights>> changes = new HashMap<>();
         weights.forEach((model, versions) -> {
             List<PublishedWeights> newer = versions.stream()
-                    .filter(version -> version.revision() > afterRevision)
+                    .filter(version -> version.revision().number() > afterRevision)
+                    .map(version -> new PublishedWeights(
+                            version.version(), at(version.revision().number())))
                     .toList();
             if (!newer.isEmpty()) {
                 changes.put(model, newer);
             }
         });
-        return new OperatorState(revision, configurationRevision > afterRevision ? configuration : null, changes);
+        return new OperatorState(at(revision), configurationRevision > afterRevision ? configuration : null, changes);
     }
 
     private static boolean isEmpty(OperatorState change) {
@@ -142,7 +213,7 @@
     public synchronized void completeWatches() {
         List<Watch> pending = List.copyOf(watches);
         watches.clear();
-        pending.forEach(watch -> watch.response().complete(new OperatorState(revision, null, Map.of())));
+        pending.forEach(watch -> watch.response().complete(new OperatorState(at(revision), null, Map.of())));
     }
 
     @Override
@@ -151,13 +222,14 @@
             historyDiscarded = false;
             Map<String, List<PublishedWeights>> latest = new HashMap<>();
             weights.forEach((model, versions) -> latest.put(model, List.of(versions.getLast())));
-            return new OperatorState(revision, configuration, latest);
+            return new OperatorState(at(revision), configuration, latest);
         });
     }
 
     @Override
-    public synchronized CompletableFuture<OperatorState> awaitOperatorChange(long afterRevision, Duration wait) {
+    public synchronized CompletableFuture<OperatorState> awaitOperatorChange(StoreRevision after, Duration wait) {
         callCount++;
+        long afterRevision = after.number();
         if (mode == Mode.UNAVAILABLE) {
             return CompletableFuture.failedFuture(new IllegalStateException("the store is unavailable"));
         }
@@ -165,8 +237,8 @@
         if (mode == Mode.UNRESPONSIVE) {
             return response;
         }
-        if (historyDiscarded) {
-            response.completeExceptionally(new HistoryLostException(afterRevision));
+        if (historyDiscarded || afterRevision > revision) {
+            response.completeExceptionally(new HistoryLostException(after));
         } else if (!isEmpty(changesSince(afterRevision))) {
             response.complete(changesSince(afterRevision));
         } else {
@@ -177,7 +249,7 @@
 
     @Override
     public CompletableFuture<RegisteredTargets> readTargets() {
-        return read(() -> new RegisteredTargets(revision, targets));
+        return read(() -> new RegisteredTargets(at(revision), targets));
     }
 
     /** Lets all leases expire, with the records attached to them. */
@@ -199,50 +271,56 @@
                 .map(entry -> new SharedRecord(
                         entry.getKey(),
                         entry.getValue().value(),
-                        entry.getValue().revision()))
+                        at(entry.getValue().revision())))
                 .toList());
     }
 
     @Override
-    public CompletableFuture<Void> putRecord(String key, String value, long lease) {
+    public CompletableFuture<Optional<SharedRecord>> readRecord(String key) {
+        return read(() -> Optional.ofNullable(records.get(key))
+                .map(stored -> new SharedRecord(key, stored.value(), at(stored.revision()))));
+    }
+
+    @Override
+    public CompletableFuture<Void> putRecord(String key, String value, StoreLease lease) {
         return writeRecord(() -> {
             requireLease(lease);
-            records.put(key, new StoredRecord(value, ++revision, lease));
+            records.put(key, new StoredRecord(value, ++revision, lease.id()));
             return null;
         });
     }
 
     @Override
-    public CompletableFuture<OptionalLong> putRecordIf(
-            String key, String value, long lease, Map<String, Long> expected) {
+    public CompletableFuture<Optional<StoreRevision>> putRecordIf(
+            String key, String value, StoreLease lease, Map<String, StoreRevision> expected) {
         return writeRecord(() -> {
             requireLease(lease);
-            for (Map.Entry<String, Long> other : expected.entrySet()) {
+            for (Map.Entry<String, StoreRevision> other : expected.entrySet()) {
                 StoredRecord stored = records.get(other.getKey());
-                if ((stored == null ? 0 : stored.revision()) != other.getValue()) {
-                    return OptionalLong.empty();
+                if ((stored == null ? 0 : stored.revision()) != other.getValue().number()) {
+                    return Optional.empty();
                 }
             }
-            records.put(key, new StoredRecord(value, ++revision, lease));
-            return OptionalLong.of(revision);
+            records.put(key, new StoredRecord(value, ++revision, lease.id()));
+            return Optional.of(at(revision));
         });
     }
 
     @Override
-    public CompletableFuture<Long> grantLease(Duration duration) {
+    public CompletableFuture<StoreLease> grantLease(Duration duration) {
         return changeLease(() -> {
             long lease = ++nextLease;
             leases.put(lease, new Lease(duration, clock.nanos() + duration.toNanos()));
-            return lease;
+            return new StoreLease(era, lease);
         });
     }
 
     @Override
-    public CompletableFuture<Void> renewLease(long lease) {
+    public CompletableFuture<Void> renewLease(StoreLease lease) {
         return changeLease(() -> {
             requireLease(lease);
             leases.computeIfPresent(
-                    lease,
+                    lease.id(),
                     (id, current) -> new Lease(
                             current.duration(),
                             clock.nanos() + current.duration().toNanos()));
@@ -250,16 +328,8 @@
         });
     }
 
-    @Override
-    public CompletableFuture<Void> revokeLease(long lease) {
-        return changeLease(() -> {
-            leases.remove(lease);
-            return null;
-        });
-    }
-
-    private void requireLease(long lease) {
-        if (lease != NO_LEASE && !leases.containsKey(lease)) {
+    private void requireLease(StoreLease lease) {
+        if (!lease.equals(StoreLease.NONE) && !leases.containsKey(lease.id())) {
             throw new LeaseExpiredException(lease);
         }
     }
@@ -286,6 +356,9 @@
 
     private synchronized <T> CompletableFuture<T> call(Supplier<T> operation, CallType type) {
         callCount++;
+        if (era != StoreRevision.NO_ERA) {
+            eras.record(Long.toString(era));
+        }
         expireLeases();
         if (mode == Mode.UNRESPONSIVE) {
             return new CompletableFuture<>();
@@ -314,6 +387,7 @@
 
     private void expireLeases() {
         leases.values().removeIf(lease -> lease.expiryNanos() <= clock.nanos());
-        records.values().removeIf(stored -> stored.lease() != NO_LEASE && !leases.containsKey(stored.lease()));
+        records.values()
+                .removeIf(stored -> stored.lease() != StoreLease.NONE.id() && !leases.containsKey(stored.lease()));
     }
 }
