Limit the connections of callers and what is held for them

Cause: UntrustedCallersTests ended the process by heads of very many fields at all four places, took 880 descriptors with silent connections, and kept ordinary requests out with stalled uploads.

Change: each port has a table of its connections (CallerConnections) with bounds that follow from limits.memory-mb, limits.max-fds and the heap (ConnectionBounds). When connections, the estimated heap of parsed fields (HeadMemory), or BodyMemory reach their bound, connections that wait for their caller are closed, the longest without progress first (DropOrder), then idle ones; a request that runs is never cut off. Jetty's NetworkConnectionLimit stops accepting while dropped ones are still open. header-timeout-ms is read and enforced; an upload ends 2 s after its request's deadline. A response that a caller reads slowly counts towards BodyMemory until it is written. The kernel's buffers of accepted connections have a size. Metrics, log lines, settings and docs/design/callers.md.

--- a/lab/src/test/java/dev/bluebellshunt/lab/soak/CallerAttack.java
+++ b/lab/src/test/java/dev/bluebellshunt/lab/soak/CallerAttack.java
@@ -2,6 +2,7 @@
 
 import dev.bluebellshunt.platform.standin.Operator;
 import dev.bluebellshunt.platform.standin.TargetProcess;
+import dev.bluebellshunt.platform.standin.VmSettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -76,7 +77,7 @@
     enum Place {
         ROUTE("/many/ab"),
         NO_ROUTE("/none/ab"),
-        READINESS("/api/ready"),
+        READINESS(VmSettings.READINESS_PATH),
         PEERS("/peers/reports");
 
         private final String path;
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -39,6 +39,8 @@
 import dev.bluebellshunt.relay.telemetry.RelayMetrics;
 import dev.bluebellshunt.relay.weights.EngineControl;
 import dev.bluebellshunt.relay.weights.RolloutSystem;
+import dev.bluebellshunt.transport.CallerConnections;
+import dev.bluebellshunt.transport.ConnectionLimits;
 import dev.bluebellshunt.transport.DrainState;
 import dev.bluebellshunt.transport.HttpServers;
 import dev.bluebellshunt.transport.JsonErrorHandler;
@@ -106,6 +108,9 @@
     private final DrainState drain;
     private final RelayContext context;
     private final RelayHandler handler;
+    private final CallerConnections callerConnections;
+    private final CallerConnections internalConnections;
+    private final CallerConnections readinessConnections;
     private final ServerConnector callers;
     private final ServerConnector readiness;
     private Duration idleTimeout = CallerLimits.DEFAULT.idleTimeout();
@@ -142,6 +147,11 @@
         CrashSuspects crashSuspects = new CrashSuspects(clock, random);
         DecisionLog decisionLog = new DecisionLog(clock);
         RelayMetrics metrics = new RelayMetrics();
+        this.callerConnections = connections("callers", settings.connections().callers(), metrics, decisionLog);
+        this.internalConnections =
+                connections("internal", settings.connections().internal(), metrics, decisionLog);
+        this.readinessConnections =
+                connections("readiness", settings.connections().readiness(), metrics, decisionLog);
         CrashRecorder crashRecorder = new CrashRecorder(crashSuspects, metrics, decisionLog);
         TargetDirectory directory = new TargetDirectory(clock, crashRecorder::recordEnd);
         PeerReportTable peerReports = new PeerReportTable(clock, settings.quotaWindow());
@@ -162,7 +172,7 @@
                 codec,
                 http,
                 drain,
-                BodyMemory.ofHeap(),
+                BodyMemory.ofHeap(callerConnections::dropStalledBodies),
                 decisionLog,
                 metrics,
                 clock,
@@ -202,7 +212,8 @@
                 "internal",
                 settings.internal(),
                 HttpServers.newConfiguration(),
-                new InternalHandler(receiver, context.metrics()));
+                new InternalHandler(receiver, context.metrics()),
+                internalConnections);
         FleetSystem fleet = new FleetSystem(
                 store,
                 operators,
@@ -273,15 +284,48 @@
                     metrics.serverError(status);
                     decisionLog.write("server_error", "none", "status", status);
                 }),
+                callerConnections,
                 closer);
         callers.setIdleTimeout(idleTimeout.plus(IDLE_MARGIN).toMillis());
         this.readiness = listen(
-                "readiness", settings.readiness(), HttpServers.newConfiguration(), new ReadinessHandler(this::isReady));
+                "readiness",
+                settings.readiness(),
+                HttpServers.newConfiguration(),
+                new ReadinessHandler(this::isReady),
+                readinessConnections);
         log.info("VM {} in {} serves callers on {}.", settings.vm(), settings.failureDomain(), settings.callers());
     }
 
-    private ServerConnector listen(String name, InetSocketAddress address, HttpConfiguration http, Handler handler) {
-        return HttpServers.start(name, address, http, handler, new JsonErrorHandler(), closer);
+    private ServerConnector listen(
+            String name,
+            InetSocketAddress address,
+            HttpConfiguration http,
+            Handler handler,
+            CallerConnections connections) {
+        return HttpServers.start(name, address, http, handler, new JsonErrorHandler(), connections, closer);
+    }
+
+    private CallerConnections connections(
+            String port, ConnectionLimits limits, RelayMetrics metrics, DecisionLog decisionLog) {
+        log.info(
+                "Port {} takes {} connections, and {} bytes for their heads.",
+                port,
+                limits.maxConnections(),
+                limits.maxHeldBytes());
+        return new CallerConnections(limits, clock, (reason, noProgress, heldBytes) -> {
+            metrics.connectionDropped(port, reason);
+            decisionLog.write(
+                    "connection_dropped",
+                    "none",
+                    "port",
+                    port,
+                    "reason",
+                    reason,
+                    "no_progress_ms",
+                    noProgress.toMillis(),
+                    "held_bytes",
+                    heldBytes);
+        });
     }
 
     /**
@@ -310,6 +354,16 @@
     }
 
     private void runHousekeeping() {
+        Duration headTimeout = context.operatorState()
+                .configuration()
+                .map(RelayConfiguration::limits)
+                .orElse(CallerLimits.DEFAULT)
+                .headTimeout()
+                .plus(IDLE_MARGIN);
+        for (CallerConnections connections : List.of(callerConnections, internalConnections, readinessConnections)) {
+            connections.closeOverdue(headTimeout);
+        }
+        context.metrics().connections(callerConnections.count(), callerConnections.heldBytes());
         context.operatorState().configuration().ifPresent(this::applyConfiguration);
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -21,6 +21,7 @@
  * @param leavingTime the time within which a target that is shutting down must get no more requests
  * @param entryLifetime the time after which the store removes the entry of a target that has ended
  * @param gracePeriod the time that the process may take to stop
+ * @param connections the limits on the connections of each port
  */
 public record RelaySettings(
         String vm,
@@ -36,4 +37,5 @@
         Duration handoverDelay,
         Duration leavingTime,
         Duration entryLifetime,
-        Duration gracePeriod) {}
+        Duration gracePeriod,
+        ConnectionBounds connections) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -10,6 +10,7 @@
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
+import dev.bluebellshunt.transport.CallerConnections;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
@@ -34,6 +35,9 @@
     /** Retry delay for callers while this VM holds as many bodies as it can; about the time of a long response. */
     private static final Duration MEMORY_RETRY_DELAY = Duration.ofSeconds(1);
 
+    /** Time after the deadline in which an upload that ends late is still told so; then its connection is closed. */
+    private static final Duration UPLOAD_MARGIN = Duration.ofSeconds(2);
+
     private final RelayContext context;
     private final Request request;
     private final long receivedNanos;
@@ -53,7 +57,7 @@
         this.request = request;
         this.receivedNanos = receivedNanos;
         this.deadline = new Deadline(receivedNanos);
-        this.memory = context.bodyMemory().new Reservation();
+        this.memory = context.bodyMemory().new Reservation(bytes -> CallerConnections.holdBody(request, bytes));
     }
 
     CallerRequestMetadata metadata() {
@@ -242,9 +246,12 @@
         if (request.getLength() > maxBytes) {
             throw bodyTooLarge(maxBytes);
         }
+        CallerConnections.readingBody(
+                request, new Deadline(deadline.atNanos() + UPLOAD_MARGIN.toNanos()), memory::close);
         try (InputStream input = Content.Source.asInputStream(request)) {
             BodyBuffer body = new BodyBuffer(memory);
-            if (context.bodyMemory().hasRoom(request.getLength()) && body.readToEnd(input, maxBytes + 1)) {
+            if (context.bodyMemory().makeRoom(request.getLength()) && body.readToEnd(input, maxBytes + 1)) {
+                CallerConnections.requestRead(request);
                 return body.toByteArray();
             }
             if (body.size() > maxBytes) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayHandler.java
@@ -78,6 +78,7 @@
         } catch (IOException e) {
             call.setResult(call.isCallerDisconnected() ? "caller_gone" : "broken");
             watcher.deregister();
+            call.releaseMemory();
             call.abortResponse(callback, e);
         } catch (RuntimeException e) {
             log.error("Unexpected exception while handling a request", e);
@@ -93,7 +94,6 @@
         } finally {
             openCalls.remove(endPoint, call);
             context.drainState().requestEnded();
-            call.releaseMemory();
             call.recordOutcome();
         }
         return true;
@@ -120,10 +120,12 @@
     private static void complete(
             RelayCall call, CallerDisconnectWatcher watcher, EndPoint endPoint, Callback callback) {
         watcher.deregister();
+        // The last bytes may wait for a caller that reads slowly, and take memory until then.
+        Callback written = Callback.from(callback, call::releaseMemory);
         if (watcher.hasReadEarlyData()) {
-            call.completeResponseAndClose(endPoint, callback);
+            call.completeResponseAndClose(endPoint, written);
         } else {
-            call.completeResponse(callback);
+            call.completeResponse(written);
         }
     }
 
@@ -134,6 +136,7 @@
             CallerDisconnectWatcher watcher,
             Callback callback) {
         call.setResult(error.code().wireName());
+        call.releaseMemory();
         watcher.deregister();
         if (response.isCommitted()) {
             call.abortResponse(callback, error);
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -47,6 +47,19 @@
             .help("Targets that told this VM in a response that they are leaving, or want no requests for some time.")
             .labelNames("signal")
             .register(registry);
+    private final Counter droppedConnections = Counter.builder()
+            .name("bluebellshunt_relay_dropped_connections_total")
+            .help("Connections closed because of a limit or an incomplete request, by port and reason.")
+            .labelNames("port", "reason")
+            .register(registry);
+    private final Gauge callerConnections = Gauge.builder()
+            .name("bluebellshunt_relay_caller_connections")
+            .help("Open connections of callers.")
+            .register(registry);
+    private final Gauge callerHeldBytes = Gauge.builder()
+            .name("bluebellshunt_relay_caller_held_bytes")
+            .help("Estimated heap for the heads of callers' requests.")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("bluebellshunt_relay_first_byte_seconds")
             .help("Time from the arrival of a request to the first byte of its answer.")
@@ -141,6 +154,27 @@
         targetSignals.labelValues(signal).inc();
     }
 
+    /**
+     * Counts a connection that was closed because of a limit or an incomplete request.
+     *
+     * @param port the port, from a fixed set
+     * @param reason the limit, from a fixed set
+     */
+    public void connectionDropped(String port, String reason) {
+        droppedConnections.labelValues(port, reason).inc();
+    }
+
+    /**
+     * Records the open connections of callers.
+     *
+     * @param count the number
+     * @param heldBytes the estimated heap for the heads of their requests
+     */
+    public void connections(int count, long heldBytes) {
+        callerConnections.set(count);
+        callerHeldBytes.set(heldBytes);
+    }
+
     /**
      * Records the time to the first byte of a response.
      *
--- /dev/null
+++ b/relay/src/test/java/dev/bluebellshunt/relay/ConnectionBoundsTests.java
@@ -0,0 +1,22 @@
+package dev.bluebellshunt.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+
+import org.junit.jupiter.api.Test;
+
+class ConnectionBoundsTests {
+
+    /** Guards against limits on the smallest VM that a single legal request exceeds, or that leave nothing for targets. */
+    @Test
+    void smallestVmServesLegalRequests() {
+        ConnectionBounds bounds = ConnectionBounds.of(258, 2_212, 96L << 20);
+        int connections = bounds.callers().maxConnections()
+                + bounds.internal().maxConnections()
+                + bounds.readiness().maxConnections();
+        assertThat(connections, lessThan(2_212 * 13 / 16));
+        assertThat(bounds.callers().maxConnections(), greaterThan(700));
+        assertThat(bounds.readiness().maxHeldBytes(), greaterThan(1_000_000L));
+    }
+}
--- a/relay/src/test/java/dev/bluebellshunt/relay/model/RelayConfigurationTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/model/RelayConfigurationTests.java
@@ -29,7 +29,7 @@
                 List.of(new RelayRoute.PoolShare("engines", 3)));
         RelayWorkspace workspace = new RelayWorkspace("w", 1, true, true, 200, 10.5, 20);
         PoolSpec pool = new PoolSpec("engines", 7, new PoolSpec.EngineSpec(8, 1_000));
-        CallerLimits limits = new CallerLimits(1, 2, Duration.ofMillis(3));
+        CallerLimits limits = new CallerLimits(1, 2, Duration.ofMillis(4), Duration.ofMillis(3));
         RelayConfiguration sent = new RelayConfiguration(
                 9,
                 List.of(route),
--- a/transport/src/main/java/dev/bluebellshunt/transport/BegunRequests.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/BegunRequests.java
@@ -5,7 +5,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
-/** Marks the requests that a handler has begun to handle, and which it may have passed on. */
+/** Marks the requests that a handler has begun to handle, and which it may have passed on, and tells their connections. */
 final class BegunRequests extends Handler.Wrapper {
 
     private static final String ATTRIBUTE = BegunRequests.class.getName();
@@ -22,6 +22,7 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         request.setAttribute(ATTRIBUTE, true);
+        CallerConnections.requestBegun(request);
         if (super.handle(request, response, callback)) {
             return true;
         }
