Take a response cut off during an upload for truncated

Cause: a target that answers a long upload at once with a 200 without a length, and resets the connection while the upload is being written, reached callers as complete. The write takes the error of the reset, and the read then meets the end in order.

Change: RequestEnd records whether a request has been written completely, and ResponseBody takes a body that ends with its connection before that for truncated, in relay and router. Statuses of 000, 099, 1000 and text were not broken: Jetty's client fails such a response.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetExchange.java
@@ -2,6 +2,7 @@
 
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.transport.HardTimeout;
+import dev.bluebellshunt.transport.RequestEnd;
 import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.UnparsedTargetRequest;
 import java.io.IOException;
@@ -32,6 +33,7 @@
     private final Request request;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean requestBegun = new AtomicBoolean();
+    private final RequestEnd requestEnd;
     private final Duration timeout;
     private volatile String localPort = "none";
     private @Nullable ResponseBody body;
@@ -61,6 +63,7 @@
                 .headers(fields -> fields.add(headers))
                 .onRequestBegin(r -> begin(mayBegin))
                 .idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        this.requestEnd = RequestEnd.of(request);
         if (earlierSends > 0) {
             // Jetty keeps a pool of connections for each tag. No connection carries the same request twice, so no
             // response with its id is a copy of the response to an earlier send.
@@ -170,7 +173,7 @@
 
     /** Returns the body of a response. Reads fail if the response is truncated. */
     ResponseBody responseBody(Response response) {
-        body = new ResponseBody(response, listener.getInputStream());
+        body = new ResponseBody(response, listener.getInputStream(), requestEnd);
         return body;
     }
 
--- a/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
+++ b/router/src/main/java/dev/bluebellshunt/router/proxy/JettyTargetClient.java
@@ -7,6 +7,7 @@
 import dev.bluebellshunt.core.target.TargetView;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.transport.HardTimeout;
+import dev.bluebellshunt.transport.RequestEnd;
 import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.InputStream;
@@ -56,6 +57,7 @@
         if (request.atMostOnce()) {
             jettyRequest.headers(headers -> headers.put(HttpHeader.CONNECTION, "close"));
         }
+        RequestEnd requestEnd = RequestEnd.of(jettyRequest);
         InputStreamResponseListener listener = new InputStreamResponseListener();
         long timeoutMillis = Math.max(1, request.deadline().remaining(clock).toMillis());
         HardTimeout.start(client, jettyRequest, Duration.ofMillis(timeoutMillis));
@@ -63,7 +65,7 @@
         try {
             Response response = listener.get(timeoutMillis, TimeUnit.MILLISECONDS);
             return new JettyTargetResponse(
-                    jettyRequest, response, new ResponseBody(response, listener.getInputStream()));
+                    jettyRequest, response, new ResponseBody(response, listener.getInputStream(), requestEnd));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             abort(jettyRequest, e);
--- a/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
+++ b/router/src/test/java/dev/bluebellshunt/router/proxy/JettyTargetClientTests.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.bluebellshunt.core.close.Closer;
+import dev.bluebellshunt.core.error.ErrorCode;
 import dev.bluebellshunt.core.error.Outcome;
 import dev.bluebellshunt.core.error.ShuntException;
 import dev.bluebellshunt.core.model.TargetKind;
@@ -16,6 +17,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.transport.HttpClients;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -30,6 +32,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class JettyTargetClientTests {
 
@@ -154,6 +157,50 @@
         }
     }
 
+    /**
+     * Guards against a response without a length that a reset cut off while the request was being written, and that is taken
+     * to be complete. Which of two threads of the client sees the reset first decides, so it is repeated.
+     */
+    @Test
+    void responseCutOffDuringUploadIsNotComplete() throws Exception {
+        for (int i = 0; i < 50; i++) {
+            assertThrows(
+                    Exception.class,
+                    () -> upload("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf a not", 64 * 1024)
+                            .readAllBytes());
+        }
+    }
+
+    /** Guards against a status that is none, and that a caller gets. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "1000", "abc"})
+    void responseWithInvalidStatusLeavesOutcomeUnknown(String status) {
+        ShuntException failure = assertThrows(
+                ShuntException.class, () -> upload("HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n", 64));
+        assertThat(failure.outcome(), equalTo(Outcome.UNKNOWN));
+        assertThat(failure.code(), equalTo(ErrorCode.TARGET_FAILED));
+    }
+
+    /** Sends a long body to a target that responds at once, reads some more, and resets the connection. */
+    private InputStream upload(String responseText, int bytesReadAfterwards) throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> {
+                try (Socket socket = listener.accept()) {
+                    socket.getInputStream().readNBytes(100);
+                    socket.getOutputStream().write(responseText.getBytes(StandardCharsets.US_ASCII));
+                    socket.getInputStream().readNBytes(bytesReadAfterwards);
+                    socket.setSoLinger(true, 0);
+                } catch (IOException e) {
+                    // The router has closed the connection first.
+                }
+            });
+            byte[] body = new byte[LARGE_BODY_BYTES / 4];
+            TargetRequest request = new TargetRequest(
+                    "POST", "/", HttpFields.EMPTY, body, true, Deadline.after(MonotonicClock.system(), TIMEOUT));
+            return client.send(target(listener.getLocalPort()), request).body();
+        }
+    }
+
     @Test
     void requestToClosedPortHasNotRun() throws Exception {
         int port;
--- a/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
+++ b/transport/src/main/java/dev/bluebellshunt/transport/ResponseBody.java
@@ -18,13 +18,14 @@
  * <p>HTTP takes a response with neither a length nor chunks to be complete when its connection is closed, even by a
  * server that crashes. Some content says more. An event stream that ends inside an event is truncated, however it is
  * framed. Without a length or chunks, so are an event stream that ends before its first event, and JSON that ends
- * inside its document.
+ * inside its document. If the request has not been written completely by then, the server has broken off the connection.
  *
  * <p>Not thread-safe.
  */
 public final class ResponseBody extends InputStream {
 
     private final InputStream input;
+    private final RequestEnd requestEnd;
     private final ResponseFraming framing;
     private final Content content;
     private long size;
@@ -35,9 +36,11 @@
      *
      * @param response the response it belongs to
      * @param input the bytes of the body; reading fails if the response is truncated according to its framing
+     * @param requestEnd the end of its request
      */
-    public ResponseBody(Response response, InputStream input) {
+    public ResponseBody(Response response, InputStream input, RequestEnd requestEnd) {
         this.input = input;
+        this.requestEnd = requestEnd;
         this.framing = ResponseFraming.of(response);
         this.content = Content.of(response.getHeaders(), framing);
     }
@@ -105,6 +108,9 @@
     }
 
     private @Nullable String findTruncation() {
+        if (framing == ResponseFraming.CONNECTION_CLOSE && !requestEnd.isSentCompletely()) {
+            return "connection ended before the request had been sent";
+        }
         return switch (content) {
             case Content.EventStream(EventBoundaryTracker events) -> {
                 if (events.isInsideEvent()) {
--- a/transport/src/test/java/dev/bluebellshunt/transport/ResponseBodyTests.java
+++ b/transport/src/test/java/dev/bluebellshunt/transport/ResponseBodyTests.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.InputStreamResponseListener;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -37,11 +38,12 @@
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread server = Thread.ofVirtual().start(() -> serve(listener, headers, body));
             InputStreamResponseListener received = new InputStreamResponseListener();
-            http.newRequest("127.0.0.1", listener.getLocalPort())
-                    .timeout(WAIT_SECONDS, TimeUnit.SECONDS)
-                    .send(received);
+            Request request =
+                    http.newRequest("127.0.0.1", listener.getLocalPort()).timeout(WAIT_SECONDS, TimeUnit.SECONDS);
+            RequestEnd requestEnd = RequestEnd.of(request);
+            request.send(received);
             Response response = received.get(WAIT_SECONDS, TimeUnit.SECONDS);
-            try (ResponseBody content = new ResponseBody(response, received.getInputStream())) {
+            try (ResponseBody content = new ResponseBody(response, received.getInputStream(), requestEnd)) {
                 return new String(content.readAllBytes(), StandardCharsets.US_ASCII);
             } finally {
                 server.join();
