Give ordinary callers a minimum of connections on VMs with little memory

Cause: on a VM of 160 MB with a heap of 96 MB the derived limit was 16 connections of callers, which ordinary callers reach. Change: at least 512 for callers and 128 for other VMs, within the same parts of the descriptors. Result: ConnectionBoundsTests, RelayDaemonTests and the tests of the settings pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/ConnectionBounds.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/ConnectionBounds.java
@@ -26,6 +26,15 @@
     private static final int READINESS_SIXTEENTHS = 1;
     private static final int MIN_CONNECTIONS = 16;
 
+    /**
+     * Minimum for callers, as far as half of the descriptors permit it. An ordinary VM that takes over the callers of others
+     * has some hundred connections, most of them idle, so that the bytes per connection are overestimated there.
+     */
+    private static final int MIN_CALLER_CONNECTIONS = 512;
+
+    /** Minimum for other VMs; a hub has the members of its group and the other hubs, each with one or two connections. */
+    private static final int MIN_INTERNAL_CONNECTIONS = 128;
+
     /** Parts of the heap for heads; bodies take a quarter of it. */
     private static final int CALLERS_HEAP_FRACTION = 6;
 
@@ -44,13 +53,22 @@
         long connectionBytes = Math.max(0, (memoryMegabytes - PROCESS_MEGABYTES) * MEGABYTE - heapBytes);
         long connections = Math.min(connectionBytes / BYTES_PER_CONNECTION, maxDescriptors);
         return new ConnectionBounds(
-                new ConnectionLimits(share(connections, CALLERS_SIXTEENTHS), heapBytes / CALLERS_HEAP_FRACTION, false),
-                new ConnectionLimits(share(connections, INTERNAL_SIXTEENTHS), heapBytes / INTERNAL_HEAP_FRACTION, true),
                 new ConnectionLimits(
-                        share(connections, READINESS_SIXTEENTHS), heapBytes / READINESS_HEAP_FRACTION, true));
+                        share(connections, maxDescriptors, CALLERS_SIXTEENTHS, MIN_CALLER_CONNECTIONS),
+                        heapBytes / CALLERS_HEAP_FRACTION,
+                        false),
+                new ConnectionLimits(
+                        share(connections, maxDescriptors, INTERNAL_SIXTEENTHS, MIN_INTERNAL_CONNECTIONS),
+                        heapBytes / INTERNAL_HEAP_FRACTION,
+                        true),
+                new ConnectionLimits(
+                        share(connections, maxDescriptors, READINESS_SIXTEENTHS, MIN_CONNECTIONS),
+                        heapBytes / READINESS_HEAP_FRACTION,
+                        true));
     }
 
-    private static int share(long connections, int sixteenths) {
-        return (int) Math.max(MIN_CONNECTIONS, connections * sixteenths / 16);
+    private static int share(long connections, int maxDescriptors, int sixteenths, int minimum) {
+        long ofDescriptors = (long) maxDescriptors * sixteenths / 16;
+        return (int) Math.max(Math.min(minimum, ofDescriptors), connections * sixteenths / 16);
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/ConnectionBoundsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/ConnectionBoundsTests.java
@@ -19,4 +19,12 @@
         assertThat(bounds.callers().maxConnections(), greaterThan(700));
         assertThat(bounds.readiness().maxHeldBytes(), greaterThan(1_000_000L));
     }
+
+    /** Guards against ordinary callers that a VM with little memory besides its heap turns away. */
+    @Test
+    void vmWithLittleMemoryServesOrdinaryCallers() {
+        ConnectionBounds bounds = ConnectionBounds.of(160, 4_100, 96L << 20);
+        assertThat(bounds.callers().maxConnections(), greaterThan(500));
+        assertThat(bounds.internal().maxConnections(), greaterThan(100));
+    }
 }
