Let the soak restore the store from an older copy, and check orders

Cause: nothing drove processes through a restore of the store, late writes of the earlier era and engines that check no fencing token.

The operator writes again. Targets record the orders that they accept; OrderChecks finds orders of two issuers without the minimum time, and tokens or versions that go back.

--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/Fault.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/Fault.java
@@ -39,7 +39,8 @@
         LINK_ONE_WAY(Place.LINK, false, 6_000, 2_000),
         LINK_SILENCE(Place.LINK, false, 6_000, 2_000),
         NAME_WEIGHTS(Place.POOL, true, 2_500, 1),
-        CHANGE_CONFIGURATION(Place.OPERATOR, true, 7_000, 1);
+        CHANGE_CONFIGURATION(Place.OPERATOR, true, 7_000, 1),
+        STORE_RESTORE(Place.STORE, false, 9_000, 5_000);
 
         private final Place place;
         private final boolean planned;
@@ -60,7 +61,8 @@
         TARGET,
         LINK,
         POOL,
-        OPERATOR
+        OPERATOR,
+        STORE
     }
 
     /**
@@ -79,6 +81,7 @@
                 case LINK -> links;
                 case POOL -> pools;
                 case OPERATOR -> List.of("operator");
+                case STORE -> List.of("store");
             };
         }
     }
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
@@ -14,12 +14,16 @@
 
     private static final int MAX_DELAY_MILLIS = 150;
 
+    /** After a restore, the operator writes again within this time. */
+    private static final int MAX_OPERATOR_MILLIS = 700;
+
     private final SoakFleet fleet;
     private final Operator operator;
     private final PrintStream log;
     private final List<Thread> threads = new ArrayList<>();
     private final Map<Fault.Kind, Integer> counts = new EnumMap<>(Fault.Kind.class);
     private final List<PlannedWorkChecks.Ending> endings = new ArrayList<>();
+    private final List<OrderChecks.Delay> delays = new ArrayList<>();
 
     FaultInjector(SoakFleet fleet, Operator operator, PrintStream log) {
         this.fleet = fleet;
@@ -61,6 +65,15 @@
         return List.copyOf(endings);
     }
 
+    /** Returns when processes and links held what was sent before. */
+    synchronized List<OrderChecks.Delay> delays() {
+        return List.copyOf(delays);
+    }
+
+    private synchronized void addDelay(String name, long beginMillis) {
+        delays.add(new OrderChecks.Delay(name, beginMillis, System.currentTimeMillis()));
+    }
+
     private synchronized void count(Fault fault, boolean done) {
         if (done) {
             counts.merge(fault.kind(), 1, Integer::sum);
@@ -91,6 +104,12 @@
                 operator.nameWeights(fault.victim());
                 yield true;
             }
+            case STORE_RESTORE -> {
+                operator.restoreStore(fault.durationMillis());
+                Thread.sleep(fault.choice() % MAX_OPERATOR_MILLIS);
+                operator.writeAgain();
+                yield true;
+            }
             case CHANGE_CONFIGURATION -> {
                 operator.changeConfiguration(fault.choice());
                 yield true;
@@ -98,13 +117,15 @@
         };
     }
 
-    private static boolean suspend(ManagedProcess process, Fault fault) throws IOException, InterruptedException {
+    private boolean suspend(ManagedProcess process, Fault fault) throws IOException, InterruptedException {
         int start = process.starts();
+        long beginMillis = System.currentTimeMillis();
         if (!process.suspend()) {
             return false;
         }
         Thread.sleep(fault.durationMillis());
         process.resumeIfStill(start);
+        addDelay(fault.victim(), beginMillis);
         return true;
     }
 
@@ -130,11 +151,13 @@
         return true;
     }
 
-    private static boolean hold(LoopbackProxy link, Fault fault, boolean toServer, boolean toClient)
+    private boolean hold(LoopbackProxy link, Fault fault, boolean toServer, boolean toClient)
             throws InterruptedException {
+        long beginMillis = System.currentTimeMillis();
         link.hold(toServer, toClient);
         Thread.sleep(fault.durationMillis());
         link.release(toServer, toClient);
+        addDelay(fault.victim(), beginMillis);
         return true;
     }
 }
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/PromiseChecks.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/PromiseChecks.java
@@ -53,7 +53,11 @@
         /** A request that reached a target which had left. */
         DRAIN,
         /** A request that was cut off beside planned work. */
-        LOST
+        LOST,
+        /** An order whose fencing token or version is lower than that of an earlier one at the engine. */
+        FENCE,
+        /** Orders of two VMs without the minimum time between them. */
+        ISSUER
     }
 
     /**
