--- a/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/fleet/FleetSystemTests.java
@@ -107,6 +107,51 @@
         assertThat(topology.isHub(), is(true));
     }
 
+    /** Guards against a VM that is unknown to the others and has no share, since the restored store lacks its record. */
+    @Test
+    void recordAndSizeAreWrittenAgainAfterRestore() {
+        store.stateEras();
+        store.keepCopy();
+        FleetSystem system = newSystem();
+        run(system, FleetSystem.LEASE_DURATION.plusSeconds(3));
+        assertThat(sizes(), equalTo(List.of("1")));
+        store.restore();
+        run(system, FleetSystem.LEASE_DURATION.plusSeconds(3));
+        assertThat(store.readRecords(FleetSystem.KEY_PREFIX).join(), hasSize(1));
+        assertThat(sizes(), equalTo(List.of("1")));
+    }
+
+    /** Guards against shares of limits that grow, since the restored store lacks the records of VMs that are running. */
+    @Test
+    void vmsThatRestoredStoreLacksAreKept() {
+        store.stateEras();
+        store.keepCopy();
+        FleetSystem system = newSystem();
+        put("other", Json.write(new VmRecord("other", "fd", "127.0.0.1:7", 1, Map.of(), 1)));
+        run(system, Duration.ofSeconds(2));
+        assertThat(topology.topology().hubAddresses(), contains("127.0.0.1:7"));
+        store.restore();
+        run(system, Duration.ofSeconds(4));
+        assertThat(topology.topology().hubAddresses(), contains("127.0.0.1:7"));
+        run(system, FleetSystem.LEASE_DURATION);
+        assertThat(topology.topology().hubAddresses(), hasSize(0));
+    }
+
+    /**
+     * Guards against a VM that restarts with the store, finds its record in the copy, and publishes the size of the copy's fleet
+     * as if no VM had registered since.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void recordOfEarlierEraDoesNotShowThatAllVmsAreListed(long recordEra) {
+        store.stateEras();
+        store.keepCopy();
+        store.restore();
+        put("self", Json.write(new VmRecord("self", "fd", "127.0.0.1:8", 1, Map.of(), recordEra)));
+        run(newSystem(), Duration.ofSeconds(3));
+        assertThat(sizes(), hasSize(recordEra == 2 ? 1 : 0));
+    }
+
     /** Guards against VMs that restart without any record and don't know that there are others. */
     @ParameterizedTest
     @ValueSource(strings = {"a-vm", "z-vm"})
--- a/relay/src/test/java/dev/bluebellshunt/relay/quarantine/CrashingRequestFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/quarantine/CrashingRequestFleetTests.java
@@ -148,6 +148,27 @@
         assertThat(vms.getLast().send(CRASHING_REQUEST), equalTo(false));
     }
 
+    /** Guards against VMs that all restart after a restore and run a request that ends targets, since its record was lost. */
+    @Test
+    void quarantineIsWrittenAgainAfterRestore() {
+        store.stateEras();
+        store.keepCopy();
+        startVms(1);
+        for (int i = 0; i < 3; i++) {
+            vms.getFirst().suspects.recordCrash("target@" + i, "fd-1", List.of(CRASHING_REQUEST));
+        }
+        for (int i = 0; i < 20; i++) {
+            exchangeReports(0);
+        }
+        assertThat(store.readRecords(KEY_PREFIX).join(), hasSize(1));
+        store.restore();
+        assertThat(store.readRecords(KEY_PREFIX).join(), hasSize(0));
+        for (int i = 0; i < 10; i++) {
+            exchangeReports(0);
+        }
+        assertThat(store.readRecords(KEY_PREFIX).join(), hasSize(1));
+    }
+
     /** Guards against VMs that do not read the other quarantines, because one record among them is malformed. */
     @ParameterizedTest
     @ValueSource(
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetListSystemTests.java
@@ -73,6 +73,55 @@
         assertThat(targets(), hasSize(0));
     }
 
+    /** Guards against running targets that are dropped, since a restored store lacks them until they register again. */
+    @Test
+    void targetsThatRestoredStoreLacksAreKeptForAWhile() {
+        followsHub = false;
+        store.stateEras();
+        store.keepCopy();
+        store.setTargets(ONE_TARGET);
+        readFor(Duration.ofMillis(100));
+        store.restore();
+        readFor(Duration.ofMillis(1_500));
+        assertThat(targets(), hasSize(1));
+        store.setTargets(ONE_TARGET);
+        readFor(Duration.ofSeconds(4));
+        assertThat(targets(), hasSize(1));
+    }
+
+    /** Guards against requests to a target that has left, or was replaced, and is listed by the older copy. */
+    @Test
+    void targetsThatHaveLeftOrWereReplacedDoNotComeBack() {
+        followsHub = false;
+        TargetEntry replaced = new TargetEntry("u", 1, "apps", "10.0.0.2", 80, "fd-1", 6, false, Map.of());
+        TargetEntry successor = new TargetEntry("u", 2, "apps", "10.0.0.2", 80, "fd-1", 6, false, Map.of());
+        store.stateEras();
+        store.setTargets(List.of(ONE_TARGET.getFirst(), replaced));
+        store.keepCopy();
+        readFor(Duration.ofMillis(100));
+        store.setTargets(List.of(ONE_TARGET.getFirst().asLeaving(), successor));
+        readFor(Duration.ofMillis(1_500));
+        store.restore();
+        readFor(Duration.ofMillis(1_500));
+        assertThat(
+                targets().stream()
+                        .filter(target -> !target.isLeaving())
+                        .map(LiveTarget::entry)
+                        .toList(),
+                equalTo(List.of(successor)));
+    }
+
+    /** Guards against a listing of the earlier era that a hub without the store still passes on. */
+    @Test
+    void listingOfEarlierEraIsNotAdopted() {
+        system.learn("hub/1", 1, ONE_TARGET, clock.nanos(), clock.nanos(), 2);
+        clock.advance(Duration.ofMillis(500));
+        system.learn("hub/2", 1, List.of(), clock.nanos(), clock.nanos(), 1);
+        clock.advance(ENTRY_LIFETIME);
+        system.learn("hub/2", 2, List.of(), clock.nanos(), clock.nanos(), 1);
+        assertThat(targets(), hasSize(1));
+    }
+
     @Test
     void targetThatHasLeftIsDroppedAtOnceWithoutAnOutage() {
         learn("hub/1", 1, ONE_TARGET, Duration.ofMinutes(1));
