Ask the other VMs for later versions after each restore of the store

Cause: a VM of a small fleet that restarts during a restore reads the older configuration of the copy, and asked no other VM, so withdrawn keys were in force there until the operator wrote again.

Change: a VM asks the others for 3 s after its first read in an era, as it does about uncertain publications.

--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -198,9 +198,8 @@
         currentHub = "";
         receiver.prefixUpdates().add(vm, engineCacheIndex.drainUpdates(), true);
         PeerReport group = peerReports.groupReport();
-        boolean wantsState = operators.age().compareTo(STALE_STATE_AGE) > 0
-                || operators.isPublicationUncertain()
-                || targetList.isStale();
+        boolean wantsState =
+                operators.age().compareTo(STALE_STATE_AGE) > 0 || operators.mayPeersKnowMore() || targetList.isStale();
         if (skipsIdleReport(group, TICKS_PER_IDLE_REPORT) && !wantsState) {
             return;
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -56,8 +56,11 @@
     /** Exceeds the uncertainty about the time of a publication on a VM that reads the targets regularly. */
     static final Duration MAX_PUBLICATION_UNCERTAINTY = Duration.ofSeconds(2);
 
-    /** Time for which other VMs are asked about an uncertain publication; covers reports to several of them. */
-    static final Duration PUBLICATION_QUERY_TIME = Duration.ofSeconds(3);
+    /**
+     * Time for which other VMs are asked about an uncertain publication, or for versions that a restored store lacks; covers
+     * reports to several of them.
+     */
+    static final Duration PEER_QUERY_TIME = Duration.ofSeconds(3);
 
     private static final Logger log = LoggerFactory.getLogger("operators");
 
@@ -75,8 +78,9 @@
     private StoreRevision revision = StoreRevision.NONE;
     private long callNumber;
     private long callEra;
+    private long readEra;
     private Deadline nextCall;
-    private Deadline publicationQueryEnd;
+    private Deadline peerQueryEnd;
     private volatile @Nullable RelayConfiguration configuration;
     private volatile Map<String, DesiredWeights> weightsSnapshot = Map.of();
     private volatile long stateAsOfNanos;
@@ -119,7 +123,7 @@
         this.mayFollowPeer = mayFollowPeer;
         this.revisionTimes = revisionTimes;
         this.nextCall = new Deadline(clock.nanos());
-        this.publicationQueryEnd = nextCall;
+        this.peerQueryEnd = nextCall;
         this.watchExpiry = nextCall;
     }
 
@@ -204,6 +208,11 @@
                 }
             }
         });
+        long era = state.revision().era();
+        if (era != readEra) {
+            readEra = era;
+            peerQueryEnd = Deadline.after(clock, PEER_QUERY_TIME);
+        }
         revisionTimes.record(state.revision(), sentNanos);
         adopt(state.revision(), state.configuration(), sentNanos);
     }
@@ -221,7 +230,7 @@
             notBeforeNanos = readNanos - stateAsOfNanos > 0 ? readNanos : stateAsOfNanos;
         }
         if (clock.nanos() - notBeforeNanos > MAX_PUBLICATION_UNCERTAINTY.toNanos()) {
-            publicationQueryEnd = Deadline.after(clock, PUBLICATION_QUERY_TIME);
+            peerQueryEnd = Deadline.after(clock, PEER_QUERY_TIME);
         }
         return known == null
                 ? new DesiredWeights(published.version(), notBeforeNanos, null)
@@ -290,12 +299,13 @@
     }
 
     /**
-     * Returns whether other VMs may know better when the latest weights were published.
+     * Returns whether other VMs may know better when the latest weights were published, or may know later versions since the
+     * store was restored.
      *
      * @return true if this VM should ask another one
      */
-    public boolean isPublicationUncertain() {
-        return !publicationQueryEnd.hasPassed(clock);
+    public boolean mayPeersKnowMore() {
+        return !peerQueryEnd.hasPassed(clock);
     }
 
     /**
--- a/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/OperatorStateSystemTests.java
@@ -191,7 +191,7 @@
         runTick();
         assertThat("published at 9 s", versionAsOf(Duration.ofSeconds(9)), greaterThanOrEqualTo(3L));
         assertThat("the VM read the store at 7 s", versionAsOf(Duration.ofMillis(6_900)), equalTo(2L));
-        assertThat("other VMs may know better", system.isPublicationUncertain());
+        assertThat("other VMs may know better", system.mayPeersKnowMore());
     }
 
     /** Guards against a late bound for a version that was superseded before the VM read the store again. */
@@ -220,8 +220,8 @@
         assertThat(versionAsOf(Duration.ofMillis(8_900)), equalTo(3L));
         assertThat(versionAsOf(Duration.ofMillis(10_800)), equalTo(3L));
         assertThat(versionAsOf(Duration.ofMillis(10_900)), equalTo(4L));
-        clock.advance(OperatorStateSystem.PUBLICATION_QUERY_TIME);
-        assertThat("asks no longer", !system.isPublicationUncertain());
+        clock.advance(OperatorStateSystem.PEER_QUERY_TIME);
+        assertThat("asks no longer", !system.mayPeersKnowMore());
     }
 
     private static OperatorStateSystem.Snapshot state(
--- a/relay/src/test/java/dev/bluebellshunt/relay/store/RestoredStoreTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/store/RestoredStoreTests.java
@@ -118,6 +118,18 @@
         assertThat(vm.version(), is(17L));
     }
 
+    /** Guards against a VM that asks no other one, so that it takes the older version of the copy for the latest. */
+    @Test
+    void otherVmsAreAskedAfterEachRestore() {
+        clock.advance(OperatorStateSystem.PEER_QUERY_TIME);
+        assertThat(vm.operators.mayPeersKnowMore(), is(false));
+        store.restore();
+        hearOfRestore(vm);
+        assertThat(vm.operators.mayPeersKnowMore(), is(true));
+        clock.advance(OperatorStateSystem.PEER_QUERY_TIME);
+        assertThat(vm.operators.mayPeersKnowMore(), is(false));
+    }
+
     /** Guards against a restarted VM that stays on the older configuration although another VM knows the later one. */
     @Test
     void restartedVmLearnsLaterVersionThatRestoredStoreLacks() {
