Test the fleet's limits over restores of the store that lack VM records

Cause: shares of limits follow from the VM records, which a restored store lacks or shows from before.

Change: two tests of 2 to 24 VMs, with two restores in succession, and with all VMs restarting.

--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
@@ -172,4 +172,50 @@
             assertThat("most in a window with seed " + seed, most, lessThanOrEqualTo(LIMIT * 1.1));
         }
     }
+
+    /** Starts a fleet whose store keeps a copy with the records of some VMs, or of none, and has all records since. */
+    private void startFleetWithOlderCopy(int size, int copied, long seed) {
+        startFleet(size, seed);
+        fleet.store.stateEras();
+        fleet.store.lapseLeases();
+        for (int i = copied; i < size; i++) {
+            fleet.vms.get(i).storeClient.refuses = true;
+        }
+        fleet.run(Duration.ofSeconds(copied == 0 ? 0 : 8));
+        fleet.store.keepCopy();
+        fleet.vms.forEach(vm -> vm.storeClient.refuses = false);
+        fleet.run(Duration.ofSeconds(15));
+        fleet.maxListingAge = Duration.ofMillis(fleet.random.nextInt(3_000));
+    }
+
+    /** Guards against VMs that each take more than their share, because the restored store lacks the records of others. */
+    @ParameterizedTest
+    @CsvSource({"2, 0", "2, 1", "6, 0", "6, 3", "24, 0", "24, 12"})
+    void limitHoldsAfterRestoreThatLacksRecords(int size, int copied) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            startFleetWithOlderCopy(size, copied, seed);
+            overload(fleet.vms, Duration.ofSeconds(10));
+            fleet.store.restore();
+            overload(fleet.vms, Duration.ofSeconds(2));
+            fleet.store.restore();
+            double admitted = overload(fleet.vms, Duration.ofSeconds(24));
+            assertThat("most in a window with seed " + seed, most, lessThanOrEqualTo(LIMIT * 1.1));
+            assertThat("admitted with seed " + seed, admitted, greaterThan(LIMIT * 3 * 0.8));
+        }
+    }
+
+    /** Guards against VMs that restart with the store and take the records of the copy for those of all VMs. */
+    @ParameterizedTest
+    @CsvSource({"2, 0", "2, 1", "6, 0", "6, 3", "24, 0", "24, 12"})
+    void limitHoldsAfterAllVmsRestartWithRestoreThatLacksRecords(int size, int copied) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            startFleetWithOlderCopy(size, copied, seed);
+            fleet.store.restore();
+            for (int i = 0; i < size; i++) {
+                fleet.restart(i);
+            }
+            overload(fleet.vms, Duration.ofSeconds(24));
+            assertThat("most in a window with seed " + seed, most, lessThanOrEqualTo(LIMIT * 1.1));
+        }
+    }
 }
