Pace admissions by what all VMs are asked for while a limit is short

Cause: all VMs see the same free units of a workspace's window until they have heard of each other, and admit them several times over. What is admitted together leaves the window together, so this repeats every window.

Change: VMs report what callers ask for, by urgency, while a limit is more than half used. A window that is not short admits as before. The demand that a restarted VM restores is scaled up where the workspace may have used all.

A surge from idle at 15 to 20 times the rate can still exceed the first window.

--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetSystem.java
@@ -45,7 +45,7 @@
     static final double DEMAND_SMOOTHING_FACTOR = 0.4;
 
     /** Demand is republished when it has grown or fallen by this factor. */
-    static final double DEMAND_CHANGE_FACTOR = 1.5;
+    public static final double DEMAND_CHANGE_FACTOR = 1.5;
 
     /** Minimum interval per VM of the fleet between two publications; bounds the writes of all VMs together. */
     static final Duration DEMAND_INTERVAL_PER_VM = Duration.ofMillis(200);
--- a/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetTopology.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/fleet/FleetTopology.java
@@ -22,7 +22,7 @@
 public record FleetTopology(boolean isHub, List<String> hubAddresses) {
 
     /** Maximum size of a fleet in which every VM reports to every other one. */
-    static final int MAX_MESH_SIZE = 10;
+    public static final int MAX_MESH_SIZE = 10;
 
     /** The second hub of a failure domain takes over from the first one. */
     static final int HUBS_PER_FAILURE_DOMAIN = 2;
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -2,8 +2,11 @@
 
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.fleet.FleetSystem;
+import dev.bluebellshunt.relay.fleet.FleetTopology;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
+import dev.bluebellshunt.relay.peer.OfferedUnits;
 import dev.bluebellshunt.relay.peer.PeerAdmissions;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.peer.RetryUsage;
@@ -13,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 /**
  * Enforces fleet-wide workspace limits and retry budgets on this VM.
@@ -36,6 +40,7 @@
     private final RetryBounds bounds;
     private final Duration quotaWindow;
     private final PeerReportTable peers;
+    private final RandomGenerator random;
     private final PauseGuard pauseGuard;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Deadline retrySharingStart;
@@ -83,12 +88,19 @@
      * @param bounds the bounds on retries
      * @param quotaWindow the length of the sliding window of workspace limits
      * @param peers the reports of the other VMs
+     * @param random spreads the admissions and returns of requests that compete
      */
-    public FleetLimits(MonotonicClock clock, RetryBounds bounds, Duration quotaWindow, PeerReportTable peers) {
+    public FleetLimits(
+            MonotonicClock clock,
+            RetryBounds bounds,
+            Duration quotaWindow,
+            PeerReportTable peers,
+            RandomGenerator random) {
         this.clock = clock;
         this.bounds = bounds;
         this.quotaWindow = quotaWindow;
         this.peers = peers;
+        this.random = random;
         this.pauseGuard = new PauseGuard(clock, quotaWindow);
         this.retrySharingStart = Deadline.after(clock, bounds.window());
     }
@@ -140,7 +152,7 @@
             quota(workspace.name())
                     .updateShare(
                             ownShare == null ? windowLimit(workspace) * EVEN_FRACTION / vmCount : ownShare,
-                            demandBeforeRestart.getOrDefault(workspace.name(), 0.0) * windowSeconds());
+                            admittedBeforeRestart(workspace, demands));
             newPeerShares.put(workspace.name(), shares);
             if (mayLackVms) {
                 ofUnknownVm.put(workspace.name(), windowLimit(workspace) / vms);
@@ -150,6 +162,23 @@
         retriesByPool.values().forEach(pool -> pool.resize(vmCount));
     }
 
+    /**
+     * Returns what this VM may have admitted in the last window before a restart. The published demand may lag behind by the
+     * factor at which it is published again. Where the workspace may have used its whole limit, it is assumed to have done so.
+     */
+    private double admittedBeforeRestart(RelayWorkspace workspace, Map<String, Map<String, Double>> demands) {
+        double published = demandBeforeRestart.getOrDefault(workspace.name(), 0.0);
+        double total = 0;
+        for (Map<String, Double> demand : demands.values()) {
+            total += demand.getOrDefault(workspace.name(), 0.0);
+        }
+        boolean mayHaveUsedAll = total * FleetSystem.DEMAND_CHANGE_FACTOR >= workspace.ratePerSecond();
+        double scale = total <= 0 || !mayHaveUsedAll
+                ? 1
+                : Math.clamp(windowLimit(workspace) / (total * windowSeconds()), 1, FleetSystem.DEMAND_CHANGE_FACTOR);
+        return published * windowSeconds() * scale;
+    }
+
     /** Records that the control thread runs. A long time between two calls means that this VM has stood still. */
     public void recordRunning() {
         pauseGuard.recordRunning(
@@ -193,7 +222,7 @@
     }
 
     private WorkspaceQuota quota(String workspace) {
-        return quotas.computeIfAbsent(workspace, w -> new WorkspaceQuota(clock, quotaWindow));
+        return quotas.computeIfAbsent(workspace, w -> new WorkspaceQuota(clock, quotaWindow, random));
     }
 
     private PoolRetries retries(String pool) {
@@ -205,15 +234,43 @@
      *
      * @param workspace the workspace
      * @param cost the cost of the request in the units of the workspace's limit
+     * @param urgency the urgency of the request, 0 being the most urgent
      * @return zero if the request was admitted, otherwise the time to wait before it is retried
      */
-    public Duration admit(RelayWorkspace workspace, double cost) {
+    public Duration admit(RelayWorkspace workspace, double cost, int urgency) {
         if (!workspace.isLimited()) {
             return Duration.ZERO;
         }
-        return pauseGuard.mustWait()
-                ? PauseGuard.BUFFERED_REPORTS_TIME
-                : quota(workspace.name()).admit(cost, peerUsage(workspace));
+        if (pauseGuard.mustWait()) {
+            return PauseGuard.BUFFERED_REPORTS_TIME;
+        }
+        WorkspaceQuota.PeerUsage usage = peerUsage(workspace);
+        OfferedUnits peerOffers = peers.observations().offered().getOrDefault(workspace.name(), OfferedUnits.NONE);
+        return quota(workspace.name())
+                .admit(
+                        cost,
+                        urgency,
+                        usage,
+                        peerOffers,
+                        vmCount > FleetTopology.MAX_MESH_SIZE
+                                ? AdmissionPolicy.REPORT_SECONDS
+                                : AdmissionPolicy.DIRECT_REPORT_SECONDS);
+    }
+
+    /**
+     * Returns what callers ask this VM for of the limits that are short of capacity.
+     *
+     * @return the offers by limited workspace
+     */
+    public Map<String, OfferedUnits> offered() {
+        Map<String, OfferedUnits> offered = new HashMap<>();
+        quotas.forEach((workspace, quota) -> {
+            OfferedUnits units = quota.offered();
+            if (!units.isEmpty()) {
+                offered.put(workspace, units);
+            }
+        });
+        return offered;
     }
 
     /** Returns the peers' usage of a workspace's limit within the window, and what it leaves to this VM. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
@@ -1,7 +1,13 @@
 package dev.bluebellshunt.relay.limit;
 
+import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
+import dev.bluebellshunt.relay.peer.OfferedUnits;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 /**
  * Sliding-window counter of the units that this VM has admitted for a workspace.
@@ -14,7 +20,17 @@
     /** Number of slots that peers' reports may lag behind, due to the report interval and the network delay. */
     private static final int UNREPORTED_SLOTS = 1;
 
+    /** Part of a limit from which on this VM reports what it is asked for, so that others know it before the limit is used up. */
+    private static final double REPORTED_USE = 0.5;
+
+    private final MonotonicClock clock;
     private final SlidingSum admitted;
+    private final OfferMeter offers;
+    private final RandomGenerator random;
+    private final double windowSeconds;
+    private final Map<Integer, Double> credits = new HashMap<>();
+    private final Duration window;
+    private Deadline shortageEnd;
     private long largestSlot;
     private double largestInSlot;
     private double share;
@@ -31,8 +47,14 @@
      */
     record PeerUsage(double limit, double reported, double estimated, double oversizedThreshold) {}
 
-    WorkspaceQuota(MonotonicClock clock, Duration window) {
+    WorkspaceQuota(MonotonicClock clock, Duration window, RandomGenerator random) {
         this.admitted = new SlidingSum(clock, window);
+        this.offers = new OfferMeter(clock, window);
+        this.random = random;
+        this.clock = clock;
+        this.window = window;
+        this.shortageEnd = new Deadline(clock.nanos());
+        this.windowSeconds = (double) window.toNanos() / TimeUnit.SECONDS.toNanos(1);
     }
 
     /**
@@ -55,27 +77,69 @@
     }
 
     /**
-     * Admits a request if it fits into the limit.
+     * Admits a request if it fits into the limit, and if its turn has come where requests compete for the rest of the limit.
      *
      * @param cost the cost of the request in units
+     * @param urgency the urgency of the request, 0 being the most urgent
      * @param peers the usage by the other VMs
+     * @param peerOffers what the callers of the other VMs ask for
+     * @param reportSeconds the time until all VMs know of an admission
      * @return zero if the request was admitted, otherwise the estimated time until it fits
      */
-    synchronized Duration admit(double cost, PeerUsage peers) {
-        double used = admitted.total() + Math.max(peers.estimated(), peers.reported() + estimateUnreported(peers));
+    synchronized Duration admit(
+            double cost, int urgency, PeerUsage peers, OfferedUnits peerOffers, double reportSeconds) {
+        offers.record(urgency, cost);
+        boolean competes = !peerOffers.perSecond().isEmpty();
+        double used = admitted.total()
+                + (competes
+                        ? peers.estimated()
+                        : Math.max(peers.estimated(), peers.reported() + estimateUnreported(peers)));
         double needed = Math.min(cost, peers.oversizedThreshold());
+        if (used > REPORTED_USE * peers.limit()) {
+            // What was admitted at the same time leaves the window at the same time, and is asked for again then.
+            shortageEnd = Deadline.after(clock, window);
+        }
         if (!initialized || used + needed > peers.limit()) {
             return Duration.ofNanos(admitted.slotNanos() * slotsUntilFree(used + needed - peers.limit(), used));
         }
+        if (!isTurnOf(urgency, peers.limit(), peers.limit() - used, peerOffers, reportSeconds)) {
+            return Duration.ofNanos(admitted.slotNanos() * slotsUntilFree(needed, used));
+        }
         charge(cost);
         largestInSlot = largestSlot == admitted.currentSlot() ? Math.max(largestInSlot, cost) : cost;
         largestSlot = admitted.currentSlot();
         return Duration.ZERO;
     }
 
+    /**
+     * Returns whether a request may be admitted now. A VM whose callers ask for requests of one urgency, while the other VMs are
+     * asked for none, has nothing to divide. The first turn is random, so that VMs do not admit at the same time.
+     */
+    private boolean isTurnOf(int urgency, double limit, double free, OfferedUnits peerOffers, double reportSeconds) {
+        OfferedUnits own = offers.offered();
+        if (peerOffers.perSecond().isEmpty() && own.perSecond().size() == 1) {
+            return true;
+        }
+        OfferedUnits all = own.plus(peerOffers);
+        double rate = AdmissionPolicy.unitsPerSecond(free, limit, windowSeconds, all, reportSeconds);
+        double share = AdmissionPolicy.admittedShare(urgency, rate, all);
+        if (share >= 1) {
+            return true;
+        }
+        double credit = credits.computeIfAbsent(urgency, u -> random.nextDouble()) + share;
+        credits.put(urgency, credit >= 1 ? credit - 1 : credit);
+        return credit >= 1;
+    }
+
+    /** Returns what callers ask this VM for, if the limit is short of capacity. */
+    synchronized OfferedUnits offered() {
+        return shortageEnd.hasPassed(clock) ? OfferedUnits.NONE : offers.offered();
+    }
+
     /**
      * Estimates what the peers have admitted since their latest reports, assuming the same ratio of recent to
-     * total admissions as on this VM. Without the estimate, every VM would admit the same free units. A VM that has
+     * total admissions as on this VM. Without the estimate, every VM would admit the same free units. Where the peers have reported
+     * what they are asked for, {@link AdmissionPolicy} divides the free units instead. A VM that has
      * admitted a single request recently can't tell a ratio.
      */
     private double estimateUnreported(PeerUsage peers) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -178,7 +178,7 @@
                 limits.retryUsage(),
                 Set.of(vm),
                 Map.of(),
-                PeerObservations.NONE);
+                PeerObservations.NONE.withOffered(limits.offered()));
     }
 
     private Map<String, InFlightLoad> localLoad() {
@@ -215,6 +215,7 @@
         CrashReport crashes = report.crashes();
         boolean idle = report.uses().isEmpty()
                 && report.admissionRates().isEmpty()
+                && report.observations().offered().isEmpty()
                 && report.retries().equals(lastRetries)
                 && !report.givesOrders()
                 && (crashes == null || crashes.isEmpty());
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -300,7 +300,10 @@
         double cost = !chargedWorkspace.countsTokens()
                 ? 1
                 : metadata.hasTokenCount() ? metadata.totalTokens() : chargedWorkspace.defaultTokens();
-        Duration retryAfter = context.limits().admit(chargedWorkspace, cost);
+        int urgency = chargedWorkspace.priority() == RelayWorkspace.NO_PRIORITY
+                ? route().priority()
+                : chargedWorkspace.priority();
+        Duration retryAfter = context.limits().admit(chargedWorkspace, cost, urgency);
         if (!retryAfter.isZero()) {
             throw ShuntException.notRun(
                     ErrorCode.RATE_LIMITED, Step.LIMIT, "The workspace exceeds its rate limit.", retryAfter);
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/FleetLimitsTests.java
@@ -27,6 +27,7 @@
 class FleetLimitsTests {
 
     private static final Duration WINDOW = Duration.ofSeconds(8);
+    private static final int URGENCY = 1;
     private static final double RATE = 10_000;
     private static final double BURST = 10_000;
     private static final double LIMIT = RATE * 8 + BURST;
@@ -40,11 +41,11 @@
 
     private final class Vm {
         private final PeerReportTable peers = new PeerReportTable(clock, WINDOW);
-        private final FleetLimits limits = new FleetLimits(clock, RETRIES, WINDOW, peers);
+        private final FleetLimits limits = new FleetLimits(clock, RETRIES, WINDOW, peers, new Random(1));
         private double admitted;
 
         private void send(double units) {
-            if (limits.admit(workspace, units).isZero()) {
+            if (limits.admit(workspace, units, URGENCY).isZero()) {
                 admitted += units;
             }
         }
@@ -276,6 +277,6 @@
     void requestOfUnlimitedWorkspaceIsNeverRejected() {
         startFleet(1);
         RelayWorkspace unlimited = new RelayWorkspace("unlimited", 0, false, true, 1, 0, 0);
-        assertThat(fleet.getFirst().limits.admit(unlimited, 1e12), equalTo(Duration.ZERO));
+        assertThat(fleet.getFirst().limits.admit(unlimited, 1e12, URGENCY), equalTo(Duration.ZERO));
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import dev.bluebellshunt.core.testing.ManualClock;
+import dev.bluebellshunt.relay.peer.OfferedUnits;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -18,11 +19,15 @@
     private static final Duration WINDOW = Duration.ofSeconds(8);
 
     private final ManualClock clock = new ManualClock();
-    private final WorkspaceQuota quota = new WorkspaceQuota(clock, WINDOW);
+    private final WorkspaceQuota quota = new WorkspaceQuota(clock, WINDOW, new Random(1));
 
     private Duration admit(double cost) {
         double limit = quota.share();
-        return quota.admit(cost, new WorkspaceQuota.PeerUsage(limit, 0, 0, limit * 0.8));
+        return admit(cost, new WorkspaceQuota.PeerUsage(limit, 0, 0, limit * 0.8));
+    }
+
+    private Duration admit(double cost, WorkspaceQuota.PeerUsage peers) {
+        return quota.admit(cost, 1, peers, OfferedUnits.NONE, AdmissionPolicy.REPORT_SECONDS);
     }
 
     @Test
@@ -94,18 +99,18 @@
         clock.advance(WINDOW.multipliedBy(2));
         WorkspaceQuota.PeerUsage peers = new WorkspaceQuota.PeerUsage(40_000, 10_000, 10_000, 32_000);
         double spent = 0;
-        while (quota.admit(1_000, peers).isZero()) {
+        while (admit(1_000, peers).isZero()) {
             spent += 1_000;
         }
         assertThat("recent admissions of the peers are estimated", spent, equalTo(20_000.0));
         clock.advance(WINDOW.dividedBy(32));
-        while (quota.admit(1_000, peers).isZero()) {
+        while (admit(1_000, peers).isZero()) {
             spent += 1_000;
         }
         assertThat(spent, greaterThan(20_000.0));
         for (int slots = 1; slots < 4; slots++) {
             clock.advance(WINDOW.dividedBy(32));
-            while (quota.admit(1_000, peers).isZero()) {
+            while (admit(1_000, peers).isZero()) {
                 spent += 1_000;
             }
         }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/HubFleetTests.java
@@ -35,6 +35,7 @@
 
     private static final int SEEDS = 12;
     private static final long CRASHING_REQUEST = 7;
+    private static final int URGENCY = 1;
     private static final double RATE = 100_000;
     private static final double BURST = 100_000;
     private static final double LIMIT = RATE * 8 + BURST;
@@ -188,7 +189,7 @@
             RelayWorkspace workspace = Configurations.withTokenLimit(RATE, BURST)
                     .workspaceOfKey("key")
                     .orElseThrow();
-            if (vm.limits.admit(workspace, UNITS).isZero()) {
+            if (vm.limits.admit(workspace, UNITS, URGENCY).isZero()) {
                 admitted += UNITS;
             }
         }
@@ -209,7 +210,7 @@
             double share = SimulatedFleet.STEP.toMillis() / (double) TimeUnit.SECONDS.toMillis(1);
             for (double sent = 0; sent < 2 * RATE * share; sent += units) {
                 SimulatedFleet.Vm vm = fleet.vms.get(fleet.random.nextInt(fleet.vms.size()));
-                if (vm.limits.admit(WORKSPACE, units).isZero()) {
+                if (vm.limits.admit(WORKSPACE, units, URGENCY).isZero()) {
                     admitted += units;
                 }
             }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PausedVmLimitFleetTests.java
@@ -22,6 +22,7 @@
 class PausedVmLimitFleetTests {
 
     private static final int SEEDS = 10;
+    private static final int URGENCY = 1;
     private static final double RATE = 100_000;
     private static final double BURST = 100_000;
     private static final double LIMIT = RATE * 8 + BURST;
@@ -51,7 +52,7 @@
             double admitted = 0;
             for (double sent = 0; sent < perStep; sent += UNITS) {
                 SimulatedFleet.Vm vm = vms.get(fleet.random.nextInt(vms.size()));
-                if (vm.isRunning() && vm.limits.admit(WORKSPACE, UNITS).isZero()) {
+                if (vm.isRunning() && vm.limits.admit(WORKSPACE, UNITS, URGENCY).isZero()) {
                     admitted += UNITS;
                 }
             }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -67,6 +67,9 @@
     /** The maximum time for which each page of a read of the store is under way in either direction. */
     Duration maxStoreDelay = Duration.ZERO;
 
+    /** Whether no message passes between the VMs with even and those with odd numbers. */
+    boolean partitioned;
+
     private record Event(long atNanos, Runnable action) {}
 
     SimulatedFleet(int size, long seed) {
@@ -90,7 +93,7 @@
         final TargetDirectory directory = new TargetDirectory(clock, target -> {});
         final CrashSuspects crashSuspects = new CrashSuspects(clock, new Random(1));
         final PeerReportTable peerReports = new PeerReportTable(clock, WINDOW);
-        final FleetLimits limits = new FleetLimits(clock, RETRIES, WINDOW, peerReports);
+        final FleetLimits limits = new FleetLimits(clock, RETRIES, WINDOW, peerReports, random);
         final EngineCacheIndex engineCacheIndex = new EngineCacheIndex(clock);
         final PromptCacheStoreIndex cacheStoreIndex = new PromptCacheStoreIndex(clock);
         final TargetListSystem targetList;
@@ -192,6 +195,9 @@
             Vm receiving =
                     vms.stream().filter(vm -> vm.address.equals(to)).findFirst().orElseThrow();
             schedule(CALL_TIMEOUT, () -> reply.completeExceptionally(new IllegalStateException("timeout")));
+            if (partitioned && Math.floorMod(vms.indexOf(this), 2) != Math.floorMod(vms.indexOf(receiving), 2)) {
+                return reply;
+            }
             if (!receiving.alive) {
                 reply.completeExceptionally(new IllegalStateException("connection refused"));
                 return reply;
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/Configurations.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/Configurations.java
@@ -41,7 +41,15 @@
 
     /** Returns a version of the configuration with one workspace {@code w} that has a token limit. */
     public static RelayConfiguration withTokenLimit(long version, double ratePerSecond, double burst) {
-        RelayWorkspace workspace = new RelayWorkspace("w", 0, false, true, 200, ratePerSecond, burst);
+        return withLimit(version, new RelayWorkspace("w", 0, false, true, 200, ratePerSecond, burst));
+    }
+
+    /** Returns a configuration with one workspace {@code w} that has a limit in requests. */
+    public static RelayConfiguration withRequestLimit(double ratePerSecond, double burst) {
+        return withLimit(1, new RelayWorkspace("w", 0, false, false, 0, ratePerSecond, burst));
+    }
+
+    private static RelayConfiguration withLimit(long version, RelayWorkspace workspace) {
         return new RelayConfiguration(
                 version,
                 List.of(),
