Keep the connection of a report that has been read

Cause: a report of another VM counted as being uploaded until its reply was written, so under pressure at the port between VMs its connection could be dropped while the report was processed.

Change: InternalHandler records that the report has been read.

Measured: RelayDaemonTests, PlatformNamesTests and BodyMemoryTests pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/InternalHandler.java
@@ -2,6 +2,7 @@
 
 import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.relay.telemetry.RelayMetrics;
+import dev.bluebellshunt.transport.CallerConnections;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -56,8 +57,9 @@
     private void receiveReport(Request request, Response response, Callback callback) throws IOException {
         Optional<ReportReply> reply;
         try (InputStream input = Content.Source.asInputStream(request)) {
-            reply = receiver.receive(Json.read(
-                    new String(input.readNBytes(MAX_REPORT_BYTES), StandardCharsets.UTF_8), ReportMessage.class));
+            String report = new String(input.readNBytes(MAX_REPORT_BYTES), StandardCharsets.UTF_8);
+            CallerConnections.requestRead(request);
+            reply = receiver.receive(Json.read(report, ReportMessage.class));
         } catch (IllegalArgumentException e) {
             log.warn("Rejecting malformed peer report: {}", e.getMessage());
             response.setStatus(HttpStatus.BAD_REQUEST_400);
