Spread the returns of requests that compete for a limit, the more urgent first

Cause: all requests that were rejected while a limit is short got the same Retry-After, and returned together.

Change: it is half to all of the time in which the admitted share comes to one request, at most a window, so it is longer for less urgent requests.

Result: WorkspaceQuotaTests, FleetLimitsTests, AdmissionPolicyTests and PausedVmLimitFleetTests pass.

--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
@@ -99,11 +99,13 @@
             // What was admitted at the same time leaves the window at the same time, and is asked for again then.
             shortageEnd = Deadline.after(clock, window);
         }
-        if (!initialized || used + needed > peers.limit()) {
+        double share = admittedShare(urgency, peers.limit(), peers.limit() - used, peerOffers, reportSeconds);
+        boolean fits = initialized && used + needed <= peers.limit();
+        if (!fits && share >= 1) {
             return Duration.ofNanos(admitted.slotNanos() * slotsUntilFree(used + needed - peers.limit(), used));
         }
-        if (!isTurnOf(urgency, peers.limit(), peers.limit() - used, peerOffers, reportSeconds)) {
-            return Duration.ofNanos(admitted.slotNanos() * slotsUntilFree(needed, used));
+        if (!fits || !takeTurn(urgency, share)) {
+            return returnDelay(share);
         }
         charge(cost);
         largestInSlot = largestSlot == admitted.currentSlot() ? Math.max(largestInSlot, cost) : cost;
@@ -112,17 +114,22 @@
     }
 
     /**
-     * Returns whether a request may be admitted now. A VM whose callers ask for requests of one urgency, while the other VMs are
-     * asked for none, has nothing to divide. The first turn is random, so that VMs do not admit at the same time.
+     * Returns the share of requests of an urgency that is admitted. A VM whose callers ask for requests of one urgency, while the
+     * other VMs are asked for none, has nothing to divide.
      */
-    private boolean isTurnOf(int urgency, double limit, double free, OfferedUnits peerOffers, double reportSeconds) {
+    private double admittedShare(
+            int urgency, double limit, double free, OfferedUnits peerOffers, double reportSeconds) {
         OfferedUnits own = offers.offered();
         if (peerOffers.perSecond().isEmpty() && own.perSecond().size() == 1) {
-            return true;
+            return 1;
         }
         OfferedUnits all = own.plus(peerOffers);
         double rate = AdmissionPolicy.unitsPerSecond(free, limit, windowSeconds, all, reportSeconds);
-        double share = AdmissionPolicy.admittedShare(urgency, rate, all);
+        return AdmissionPolicy.admittedShare(urgency, rate, all);
+    }
+
+    /** Returns whether a request is one of the admitted share. The first is random, so that VMs do not admit at the same time. */
+    private boolean takeTurn(int urgency, double share) {
         if (share >= 1) {
             return true;
         }
@@ -131,6 +138,15 @@
         return credit >= 1;
     }
 
+    /**
+     * Returns when a request that competes may return. It takes the inverse of the admitted share in attempts, so the less
+     * urgent return later. The times are spread, so that those that are rejected together do not return together.
+     */
+    private Duration returnDelay(double share) {
+        double seconds = share <= 0 ? windowSeconds : Math.min(windowSeconds, AdmissionPolicy.REPORT_SECONDS / share);
+        return Duration.ofNanos((long) (seconds * (0.5 + random.nextDouble() / 2) * TimeUnit.SECONDS.toNanos(1)));
+    }
+
     /** Returns what callers ask this VM for, if the limit is short of capacity. */
     synchronized OfferedUnits offered() {
         return shortageEnd.hasPassed(clock) ? OfferedUnits.NONE : offers.offered();
--- a/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/limit/WorkspaceQuotaTests.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import dev.bluebellshunt.core.testing.ManualClock;
@@ -11,7 +12,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class WorkspaceQuotaTests {
@@ -116,4 +120,27 @@
         }
         assertThat(spent, equalTo(30_000.0));
     }
+
+    /** Guards against requests that are rejected together and return together, and against less urgent ones that return first. */
+    @Test
+    void competingRequestsReturnSpreadAndTheUrgentFirst() {
+        quota.updateShare(10_000, 0);
+        clock.advance(WINDOW.multipliedBy(2));
+        WorkspaceQuota.PeerUsage peers = new WorkspaceQuota.PeerUsage(10_000, 9_500, 9_500, 8_000);
+        OfferedUnits peerOffers = new OfferedUnits(Map.of(0, 2_000.0, 5, 8_000.0), 100);
+        double[] seconds = new double[6];
+        Set<Duration> delays = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            clock.advance(OfferMeter.WINDOW);
+            for (int urgency : new int[] {0, 5}) {
+                Duration delay = quota.admit(600, urgency, peers, peerOffers, AdmissionPolicy.REPORT_SECONDS);
+                assertThat(delay, lessThanOrEqualTo(WINDOW));
+                assertThat(delay, greaterThan(Duration.ZERO));
+                seconds[urgency] += delay.toMillis();
+                delays.add(delay);
+            }
+        }
+        assertThat(seconds[0], lessThan(seconds[5] / 2));
+        assertThat(delays.size(), greaterThan(150));
+    }
 }
