--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/AdmissionPolicy.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/AdmissionPolicy.java
@@ -32,7 +32,7 @@
     private static final double PERMITTED_EXCESS = 0.07;
 
     /** The same where several urgencies compete: a request that does not fit is rejected regardless of its urgency. */
-    private static final double COMPETING_EXCESS = 0.05;
+    private static final double COMPETING_EXCESS = 0.04;
 
     private AdmissionPolicy() {}
 
