--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReleaseCounts.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReleaseCounts.java
@@ -26,6 +26,20 @@
         return new ReleaseCounts(sum);
     }
 
+    /**
+     * Returns what has been added since an earlier time. Where sums have become smaller, because a VM no longer reports,
+     * nothing has been added.
+     *
+     * @param earlier the counts of the earlier time
+     * @return the difference
+     */
+    public ReleaseCounts minus(ReleaseCounts earlier) {
+        Map<String, RouteCounts> difference = new HashMap<>();
+        byRoute.forEach((route, counts) ->
+                difference.put(route, counts.minus(earlier.byRoute.getOrDefault(route, RouteCounts.NONE))));
+        return new ReleaseCounts(difference);
+    }
+
     /**
      * Outcomes on one route.
      *
@@ -35,9 +49,16 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record RouteCounts(VersionCounts oldVersion, VersionCounts newVersion) {
 
+        /** No requests. */
+        public static final RouteCounts NONE = new RouteCounts(VersionCounts.NONE, VersionCounts.NONE);
+
         private RouteCounts plus(RouteCounts other) {
             return new RouteCounts(oldVersion.plus(other.oldVersion), newVersion.plus(other.newVersion));
         }
+
+        private RouteCounts minus(RouteCounts other) {
+            return new RouteCounts(oldVersion.minus(other.oldVersion), newVersion.minus(other.newVersion));
+        }
     }
 
     /**
@@ -54,9 +75,23 @@
         /** No requests. */
         public static final VersionCounts NONE = new VersionCounts(0, 0, 0, 0);
 
-        private VersionCounts plus(VersionCounts other) {
+        /**
+         * Returns the sum of these counts and others.
+         *
+         * @param other the counts to add
+         * @return the sum
+         */
+        public VersionCounts plus(VersionCounts other) {
             return new VersionCounts(
                     requests + other.requests, failures + other.failures, slow + other.slow, lost + other.lost);
         }
+
+        private VersionCounts minus(VersionCounts other) {
+            return new VersionCounts(
+                    Math.max(0, requests - other.requests),
+                    Math.max(0, failures - other.failures),
+                    Math.max(0, slow - other.slow),
+                    Math.max(0, lost - other.lost));
+        }
     }
 }
--- /dev/null
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleasePhase.java
@@ -0,0 +1,44 @@
+package dev.bluebellshunt.relay.release;
+
+/** Phase of a release. A later phase replaces an earlier one; the last two are final and exclude each other. */
+public enum ReleasePhase {
+    /** No record of the release is known, so nothing is sent to the new version. */
+    UNKNOWN,
+    /** A bounded share of the requests goes to the new version. */
+    RUNNING,
+    /** All new requests go to the new version, and requests at targets of the old one may finish. */
+    ACCEPTED,
+    /** The targets of the old version may have stopped. */
+    COMPLETED,
+    /** Nothing is sent to the new version any more. */
+    ROLLED_BACK;
+
+    /**
+     * Returns whether the release has ended.
+     *
+     * @return true if no other phase can follow
+     */
+    public boolean isFinal() {
+        return this == COMPLETED || this == ROLLED_BACK;
+    }
+
+    /**
+     * Returns the phase with a number.
+     *
+     * @param number the ordinal, from a message of another VM
+     * @return the phase; unknown for a number that this version does not have
+     */
+    public static ReleasePhase of(int number) {
+        return number < 0 || number >= values().length ? UNKNOWN : values()[number];
+    }
+
+    /**
+     * Returns the later of two phases.
+     *
+     * @param other another phase of the same release
+     * @return the later one
+     */
+    public ReleasePhase later(ReleasePhase other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
+}
