Roll out software versions of a pool as operators order

The order is read with the operators' state and passed to members by hubs. Each VM applies ReleaseDecision to its own requests: Releases restricts the targets of a request by a predicate in PoolTargetSelector.Request, and counts responses of both versions, which PeerObservations.releases carries together with the latest known phase. The holder of a lease (RolloutLease under another key) stores the phase as a record before any VM acts on it, then the status.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -17,6 +17,7 @@
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.peer.HttpReportClient;
 import dev.bluebellshunt.relay.peer.InternalHandler;
+import dev.bluebellshunt.relay.peer.PeerObservations;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
 import dev.bluebellshunt.relay.peer.PeerSystem;
 import dev.bluebellshunt.relay.peer.ReportReceiver;
@@ -27,6 +28,8 @@
 import dev.bluebellshunt.relay.proxy.RelayHandler;
 import dev.bluebellshunt.relay.quarantine.QuarantineSystem;
 import dev.bluebellshunt.relay.quarantine.QuarantineTable;
+import dev.bluebellshunt.relay.release.ReleaseSystem;
+import dev.bluebellshunt.relay.release.Releases;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedStore;
@@ -46,6 +49,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -150,6 +154,7 @@
         PromptCacheStoreIndex cacheStoreIndex = new PromptCacheStoreIndex(clock);
         this.drain = new DrainState(clock);
         TargetSignalRecorder targetSignals = new TargetSignalRecorder(clock, metrics, decisionLog);
+        Releases releases = new Releases(clock, metrics, directory::loading);
         this.context = new RelayContext(
                 operators,
                 directory,
@@ -167,7 +172,8 @@
                 metrics,
                 clock,
                 settings.revocationTime().minus(REVOCATION_MARGIN),
-                settings.weightsTime().minus(WEIGHTS_MARGIN));
+                settings.weightsTime().minus(WEIGHTS_MARGIN),
+                releases);
         control.add(operators);
         TargetListSystem targetList = new TargetListSystem(
                 store,
@@ -230,6 +236,22 @@
                 settings.vm(),
                 settings.handoverDelay());
         control.add(rollout);
+        if (settings.releases() != null) {
+            control.add(new ReleaseSystem(
+                    releases,
+                    settings.releases(),
+                    store,
+                    operators,
+                    directory,
+                    peerReports,
+                    topology,
+                    metrics,
+                    control,
+                    clock,
+                    System::currentTimeMillis,
+                    random,
+                    settings.vm()));
+        }
         PeerSystem peerSystem = new PeerSystem(
                 new HttpReportClient(peers),
                 topology,
@@ -246,7 +268,8 @@
                 control,
                 clock,
                 new JitteredTimer(clock, random, PEER_INTERVAL),
-                settings.vm());
+                settings.vm(),
+                () -> new PeerObservations(Map.of(), releases.observations()));
         control.add(peerSystem);
         control.add(new PromptCacheStoreSystem(
                 cacheStores, cacheStoreIndex, operators, control, clock, topology::followsHub));
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -1,8 +1,10 @@
 package dev.bluebellshunt.relay;
 
 import dev.bluebellshunt.relay.limit.FleetLimits;
+import dev.bluebellshunt.relay.release.ReleaseBounds;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Startup settings of a process.
@@ -21,6 +23,7 @@
  * @param leavingTime the time within which a target that is shutting down must get no more requests
  * @param entryLifetime the time after which the store removes the entry of a target that has ended
  * @param gracePeriod the time that the process may take to stop
+ * @param releases the bounds on roll-outs of software versions, or null if orders for them are not acted on
  */
 public record RelaySettings(
         String vm,
@@ -36,4 +39,5 @@
         Duration handoverDelay,
         Duration leavingTime,
         Duration entryLifetime,
-        Duration gracePeriod) {}
+        Duration gracePeriod,
+        @Nullable ReleaseBounds releases) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
@@ -206,6 +206,15 @@
         return observations;
     }
 
+    /**
+     * Returns whether this VM has heard of other VMs within the lifetime of a report.
+     *
+     * @return false if it knows nothing current of the fleet
+     */
+    public synchronized boolean hearsOthers() {
+        return isDigestFresh() || !freshReports().isEmpty();
+    }
+
     /**
      * Returns whether another VM orders engines to load new weights.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -75,6 +76,7 @@
     private final MonotonicClock clock;
     private final JitteredTimer interval;
     private final String vm;
+    private final Supplier<PeerObservations> observations;
     private final Set<String> pendingAddresses = new HashSet<>();
     private final Map<String, Deadline> hubBackoffs = new HashMap<>();
     private long sequence;
@@ -106,6 +108,7 @@
      * @param clock a clock that includes the time for which the VM is suspended
      * @param interval the report interval
      * @param vm the name of this VM
+     * @param observations provides what this VM has observed of targets
      */
     public PeerSystem(
             ReportClient client,
@@ -123,7 +126,8 @@
             ControlExecutor control,
             MonotonicClock clock,
             JitteredTimer interval,
-            String vm) {
+            String vm,
+            Supplier<PeerObservations> observations) {
         this.client = client;
         this.currentTopology = currentTopology;
         this.directory = directory;
@@ -140,6 +144,7 @@
         this.clock = clock;
         this.interval = interval;
         this.vm = vm;
+        this.observations = observations;
         this.hubReady = new Deadline(clock.nanos());
     }
 
@@ -178,7 +183,7 @@
                 limits.retryUsage(),
                 Set.of(vm),
                 Map.of(),
-                PeerObservations.NONE);
+                observations.get());
     }
 
     private Map<String, InFlightLoad> localLoad() {
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReleaseCounts.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReleaseCounts.java
@@ -8,12 +8,22 @@
  * Outcomes of the requests to a pool while its traffic is moved to another version, by route.
  *
  * @param byRoute the outcomes by the name of the route
+ * @param phase the number of the latest phase of the release that a VM knows, zero if none does
  */
-public record ReleaseCounts(Map<String, RouteCounts> byRoute) {
+public record ReleaseCounts(Map<String, RouteCounts> byRoute, int phase) {
 
     /** No requests. */
     public static final ReleaseCounts NONE = new ReleaseCounts(Map.of());
 
+    /**
+     * Creates counts of a VM that knows no phase.
+     *
+     * @param byRoute the outcomes by the name of the route
+     */
+    public ReleaseCounts(Map<String, RouteCounts> byRoute) {
+        this(byRoute, 0);
+    }
+
     /**
      * Returns the sum of these counts and others.
      *
@@ -23,7 +33,7 @@
     public ReleaseCounts plus(ReleaseCounts other) {
         Map<String, RouteCounts> sum = new HashMap<>(byRoute);
         other.byRoute.forEach((route, counts) -> sum.merge(route, counts, RouteCounts::plus));
-        return new ReleaseCounts(sum);
+        return new ReleaseCounts(sum, Math.max(phase, other.phase));
     }
 
     /**
@@ -37,7 +47,7 @@
         Map<String, RouteCounts> difference = new HashMap<>();
         byRoute.forEach((route, counts) ->
                 difference.put(route, counts.minus(earlier.byRoute.getOrDefault(route, RouteCounts.NONE))));
-        return new ReleaseCounts(difference);
+        return new ReleaseCounts(difference, phase);
     }
 
     /**
@@ -52,7 +62,13 @@
         /** No requests. */
         public static final RouteCounts NONE = new RouteCounts(VersionCounts.NONE, VersionCounts.NONE);
 
-        private RouteCounts plus(RouteCounts other) {
+        /**
+         * Returns the sum of these counts and others.
+         *
+         * @param other the counts to add
+         * @return the sum
+         */
+        public RouteCounts plus(RouteCounts other) {
             return new RouteCounts(oldVersion.plus(other.oldVersion), newVersion.plus(other.newVersion));
         }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/ReportReply.java
@@ -3,6 +3,7 @@
 import dev.bluebellshunt.relay.cache.IndexChanges;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
 import dev.bluebellshunt.relay.model.TargetEntry;
+import dev.bluebellshunt.relay.release.ReleaseOrder;
 import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import java.time.Duration;
@@ -10,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -40,13 +42,15 @@
      * @param weights the known versions of the weights by model, oldest first
      * @param ageMillis the age of the state
      * @param watchMillis the time for which the sender's watch of the store counts as alive; zero from older versions
+     * @param releases the latest order to move each pool to another software version; null from older versions
      */
     public record Operators(
             long revision,
             @Nullable RelayConfiguration configuration,
             Map<String, List<PublishedVersion>> weights,
             long ageMillis,
-            long watchMillis) {
+            long watchMillis,
+            @Nullable List<PublishedOrder> releases) {
 
         static Operators of(
                 OperatorStateSystem.Snapshot snapshot, Duration watchTime, long knownConfiguration, long nowNanos) {
@@ -59,7 +63,16 @@
                     known ? null : configuration,
                     weights,
                     age(snapshot.asOfNanos(), nowNanos),
-                    watchTime.toMillis());
+                    watchTime.toMillis(),
+                    snapshot.releases().values().stream()
+                            .map(order -> new PublishedOrder(
+                                    order.pool(),
+                                    order.targetVersion(),
+                                    order.period().toMillis(),
+                                    order.revision(),
+                                    age(order.issuedNanos(), nowNanos),
+                                    order.foundAtStart()))
+                            .toList());
         }
 
         private static List<PublishedVersion> versions(DesiredWeights newest, long nowNanos) {
@@ -82,7 +95,12 @@
                     desired.put(model, newest);
                 }
             });
-            return new OperatorStateSystem.Snapshot(revision, configuration, desired, nanos(askedNanos, ageMillis));
+            Map<String, ReleaseOrder> orders = new HashMap<>();
+            for (PublishedOrder order : Objects.requireNonNullElse(releases, List.<PublishedOrder>of())) {
+                orders.put(order.pool(), order.at(askedNanos));
+            }
+            return new OperatorStateSystem.Snapshot(
+                    revision, configuration, desired, nanos(askedNanos, ageMillis), orders);
         }
 
         private static long nanos(long askedNanos, long ageMillis) {
@@ -98,6 +116,30 @@
      */
     public record PublishedVersion(long version, long maxAgeMillis) {}
 
+    /**
+     * An order to move a pool to another software version.
+     *
+     * @param pool the name of the pool
+     * @param version the version to move to
+     * @param periodMillis the time within which the release has to end
+     * @param revision the revision of the order in the store
+     * @param ageMillis the time since the sender learned of it
+     * @param foundAtStart whether the order may be older than that
+     */
+    public record PublishedOrder(
+            String pool, String version, long periodMillis, long revision, long ageMillis, boolean foundAtStart) {
+
+        private ReleaseOrder at(long askedNanos) {
+            return new ReleaseOrder(
+                    pool,
+                    version,
+                    Duration.ofMillis(periodMillis),
+                    revision,
+                    Operators.nanos(askedNanos, ageMillis),
+                    foundAtStart);
+        }
+    }
+
     /** Returns an age in milliseconds, rounded up. */
     static long age(long sinceNanos, long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos) + 1;
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/PromptCachePlan.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/PromptCachePlan.java
@@ -48,8 +48,13 @@
      */
     private static @Nullable String source(
             RelayContext context, LiveTarget target, String domain, CallerRequestMetadata metadata) {
-        List<LiveTarget> engines =
-                context.targetDirectory().snapshot().pool(target.entry().pool());
+        List<LiveTarget> engines = context
+                .targetDirectory()
+                .snapshot()
+                .pool(target.entry().pool())
+                .stream()
+                .filter(engine -> context.releases().sameVersion(engine, target))
+                .toList();
         List<String> sharedPartIds = metadata.sharedPartIds();
         Optional<String> source = context.cacheStoreIndex()
                 .findSource(domain, sharedPartIds)
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -339,6 +339,7 @@
         }
         if (response.getStatus() >= SERVER_ERROR_STATUS) {
             target.load().requestFailed();
+            choice.recordResponse(target, response.getStatus(), sentNanos);
             if (route.kind() == RouteKind.IDEMPOTENT
                     && retries.mayRepeat()
                     && context.limits().tryAcquireRetry(caller.pool().name())) {
@@ -406,6 +407,7 @@
         }
         if (failure.isRequestSent()) {
             retryReserved = failure.isAbandoned();
+            choice.recordLost(target);
             history.recordPossiblyExecuted();
         } else {
             history.recordRejected();
@@ -474,6 +476,9 @@
             handleBodyFailure(target, exchange, e);
             return false;
         }
+        if (response.getStatus() < SERVER_ERROR_STATUS) {
+            choice.recordResponse(target, response.getStatus(), sentNanos);
+        }
         beginResponse(response, body, whole);
         if (whole) {
             writer.setLastChunk(firstBytes);
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayContext.java
@@ -4,6 +4,7 @@
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.cache.PromptCacheStoreIndex;
 import dev.bluebellshunt.relay.limit.FleetLimits;
+import dev.bluebellshunt.relay.release.Releases;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
@@ -36,6 +37,7 @@
  * @param maxConfigurationAge the maximum age of the configuration for authenticating a request
  * @param maxWeightsStaleness how long after new weights have become the desired ones a request may still start on
  *     older ones
+ * @param releases the versions that requests may be sent to
  */
 public record RelayContext(
         OperatorStateSystem operatorState,
@@ -54,7 +56,8 @@
         RelayMetrics metrics,
         MonotonicClock clock,
         Duration maxConfigurationAge,
-        Duration maxWeightsStaleness) {
+        Duration maxWeightsStaleness,
+        Releases releases) {
 
     /**
      * Whether the configuration is recent enough to decide which API keys are valid.
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -1,5 +1,6 @@
 package dev.bluebellshunt.relay.proxy;
 
+import dev.bluebellshunt.relay.release.Releases;
 import dev.bluebellshunt.relay.target.CompletionEstimate;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
@@ -7,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpStatus;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the target of each send of one request, together with whether the request is late: one that can no longer
@@ -23,6 +26,7 @@
     private final CallerRequest caller;
     private final SendHistory history;
     private final long receivedNanos;
+    private Releases.@Nullable Choice version;
     private boolean late;
 
     TargetChoice(RelayContext context, CallerRequest caller, SendHistory history, long receivedNanos) {
@@ -52,7 +56,11 @@
 
     /** Chooses the target of the next send. */
     Outcome next() {
+        version().chooseForSend(history.possiblyExecuted() > 0);
         Optional<PoolTargetSelector.Selection> selection = select();
+        if (selection.isEmpty() && version().fallBack(history.possiblyExecuted() > 0)) {
+            selection = select();
+        }
         if (selection.isEmpty()) {
             return new Outcome.NoTarget(
                     "No target of the pool is available.",
@@ -99,7 +107,31 @@
                                 minimumWeightsVersion(),
                                 context.targetDirectory().loading(),
                                 caller.metadata().totalTokens(),
-                                caller.pool().engine()));
+                                caller.pool().engine(),
+                                version()::permits));
+    }
+
+    /** Returns the choice between the versions of the pool, which is known once the request has been read. */
+    private Releases.Choice version() {
+        Releases.Choice known = version;
+        if (known == null) {
+            known = context.releases().begin(caller.pool().name());
+            version = known;
+        }
+        return known;
+    }
+
+    /** Counts a response that is no rejection for the version of the target. */
+    void recordResponse(LiveTarget target, int status, long sentNanos) {
+        boolean failed = HttpStatus.isServerError(status);
+        version()
+                .recordResponse(
+                        target, caller.route().name(), failed, context.clock().nanos() - sentNanos);
+    }
+
+    /** Counts a send that was lost. */
+    void recordLost(LiveTarget target) {
+        version().recordLost(target, caller.route().name());
     }
 
     private List<LiveTarget> pool() {
@@ -113,6 +145,7 @@
                 .snapshot()
                 .find(chosen.entry().incarnation())
                 .filter(LiveTarget::acceptsRequests)
+                .filter(version()::permits)
                 .filter(target -> model == null || target.weightsVersion(model) >= minimumWeightsVersion())
                 .isPresent();
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseDecision.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseDecision.java
@@ -91,6 +91,9 @@
 
     private static final String FAILURES = "failures";
 
+    /** The decision of a VM that sends nothing to the new version for now. */
+    static final Verdict SUSPENDED = Verdict.none(Action.SUSPEND, "suspended");
+
     private ReleaseDecision() {}
 
     /**
@@ -184,6 +187,9 @@
         if (!fault.isEmpty()) {
             return Verdict.none(Action.ROLL_BACK, fault);
         }
+        if (input.elapsed() >= 1) {
+            return Verdict.none(Action.ROLL_BACK, "the deadline has passed");
+        }
         if (input.newTargets() == 0) {
             return input.elapsed() < ACCEPT_UNTIL
                     ? Verdict.none(Action.SUSPEND, "no target of the new version accepts requests")
@@ -194,9 +200,6 @@
         }
         if (input.elapsed() >= ACCEPT_FROM) {
             String doubt = findDoubt(input);
-            if (input.elapsed() >= 1) {
-                return Verdict.none(Action.ROLL_BACK, "the deadline has passed");
-            }
             if (doubt.isEmpty()) {
                 return Verdict.all(Action.ACCEPT, input, "good: " + describe(input));
             }
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleasePhase.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleasePhase.java
@@ -3,15 +3,30 @@
 /** Phase of a release. A later phase replaces an earlier one; the last two are final and exclude each other. */
 public enum ReleasePhase {
     /** No record of the release is known, so nothing is sent to the new version. */
-    UNKNOWN,
+    UNKNOWN(0),
     /** A bounded share of the requests goes to the new version. */
-    RUNNING,
+    RUNNING(1),
     /** All new requests go to the new version, and requests at targets of the old one may finish. */
-    ACCEPTED,
+    ACCEPTED(2),
     /** The targets of the old version may have stopped. */
-    COMPLETED,
+    COMPLETED(3),
     /** Nothing is sent to the new version any more. */
-    ROLLED_BACK;
+    ROLLED_BACK(4);
+
+    private final int number;
+
+    ReleasePhase(int number) {
+        this.number = number;
+    }
+
+    /**
+     * Returns the number of the phase in messages to other VMs.
+     *
+     * @return a number that is higher for a later phase
+     */
+    public int number() {
+        return number;
+    }
 
     /**
      * Returns whether the release has ended.
@@ -25,11 +40,16 @@
     /**
      * Returns the phase with a number.
      *
-     * @param number the ordinal, from a message of another VM
+     * @param number the number, from a message of another VM
      * @return the phase; unknown for a number that this version does not have
      */
     public static ReleasePhase of(int number) {
-        return number < 0 || number >= values().length ? UNKNOWN : values()[number];
+        for (ReleasePhase phase : values()) {
+            if (phase.number == number) {
+                return phase;
+            }
+        }
+        return UNKNOWN;
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorState.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorState.java
@@ -12,6 +12,23 @@
  * @param configuration the latest configuration, or null if there is none or it has not changed
  * @param weights the desired weights by model: the latest version in a full state, all versions in a change, oldest
  *     first
+ * @param releases the orders to move pools to other software versions: the latest of each pool in a full state
  */
 public record OperatorState(
-        long revision, @Nullable RelayConfiguration configuration, Map<String, List<PublishedWeights>> weights) {}
+        long revision,
+        @Nullable RelayConfiguration configuration,
+        Map<String, List<PublishedWeights>> weights,
+        List<PublishedRelease> releases) {
+
+    /**
+     * Creates a state without orders.
+     *
+     * @param revision the revision of the store that the state covers
+     * @param configuration the configuration, or null
+     * @param weights the desired weights by model
+     */
+    public OperatorState(
+            long revision, @Nullable RelayConfiguration configuration, Map<String, List<PublishedWeights>> weights) {
+        this(revision, configuration, weights, List.of());
+    }
+}
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/OperatorStateSystem.java
@@ -5,6 +5,7 @@
 import dev.bluebellshunt.core.time.Deadline;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.RelayConfiguration;
+import dev.bluebellshunt.relay.release.ReleaseOrder;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -77,6 +78,7 @@
     private Deadline publicationQueryEnd;
     private volatile @Nullable RelayConfiguration configuration;
     private volatile Map<String, DesiredWeights> weightsSnapshot = Map.of();
+    private volatile Map<String, ReleaseOrder> releases = Map.of();
     private volatile long stateAsOfNanos;
     private volatile @Nullable Snapshot snapshot;
     private volatile Deadline watchExpiry;
@@ -88,12 +90,31 @@
      * @param configuration the configuration, or null if there is none or the receiver of the copy has it
      * @param weights the desired weights by model
      * @param asOfNanos the time as of which the copy was current
+     * @param releases the latest order to move each pool to another software version
      */
     public record Snapshot(
             long revision,
             @Nullable RelayConfiguration configuration,
             Map<String, DesiredWeights> weights,
-            long asOfNanos) {}
+            long asOfNanos,
+            Map<String, ReleaseOrder> releases) {
+
+        /**
+         * Creates a copy without orders.
+         *
+         * @param revision the revision of the store that the copy covers
+         * @param configuration the configuration, or null
+         * @param weights the desired weights by model
+         * @param asOfNanos the time as of which the copy was current
+         */
+        public Snapshot(
+                long revision,
+                @Nullable RelayConfiguration configuration,
+                Map<String, DesiredWeights> weights,
+                long asOfNanos) {
+            this(revision, configuration, weights, asOfNanos, Map.of());
+        }
+    }
 
     /**
      * Creates a system that starts with a full read.
@@ -176,10 +197,46 @@
                 }
             }
         });
+        for (PublishedRelease published : state.releases()) {
+            // A watch reports an order at once; between two full reads it may have been written at any time.
+            long issuedNanos = initialized && fullRead ? stateAsOfNanos : clock.nanos();
+            adoptRelease(new ReleaseOrder(
+                    published.pool(),
+                    published.targetVersion(),
+                    published.period(),
+                    published.revision(),
+                    issuedNanos,
+                    !initialized));
+        }
         revisionTimes.record(state.revision(), sentNanos);
         adopt(state.revision(), state.configuration(), sentNanos);
     }
 
+    private void adoptRelease(ReleaseOrder order) {
+        ReleaseOrder known = releases.get(order.pool());
+        if (known != null && !order.replaces(known)) {
+            return;
+        }
+        Map<String, ReleaseOrder> next = new HashMap<>(releases);
+        next.put(order.pool(), order);
+        releases = Map.copyOf(next);
+        log.info(
+                "Order {} moves pool {} to version {} within {} ms.",
+                order.id(),
+                order.pool(),
+                order.targetVersion(),
+                order.period().toMillis());
+    }
+
+    /**
+     * Returns the latest order to move each pool to another software version. Thread-safe.
+     *
+     * @return an immutable snapshot by pool
+     */
+    public Map<String, ReleaseOrder> releases() {
+        return releases;
+    }
+
     /**
      * Returns newly published weights with the latest known time before their publication. A full read leaves out the
      * versions between the known one and the latest, which may have been published at any time since the previous state.
@@ -231,7 +288,7 @@
     }
 
     private void publishSnapshot() {
-        snapshot = new Snapshot(revision, configuration, weightsSnapshot, stateAsOfNanos);
+        snapshot = new Snapshot(revision, configuration, weightsSnapshot, stateAsOfNanos, releases);
     }
 
     /**
@@ -241,6 +298,7 @@
      * @param state the state, with times on the clock of this VM that are not later than the actual ones
      */
     public void learn(Snapshot state) {
+        state.releases().values().forEach(this::adoptRelease);
         state.weights().forEach((model, desired) -> {
             DesiredWeights known = weights.get(model);
             setWeights(
--- a/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/store/SharedStore.java
@@ -47,6 +47,14 @@
      */
     CompletableFuture<List<SharedRecord>> readRecords(String prefix);
 
+    /**
+     * Reads the current records with a prefix, at a higher cost than {@link #readRecords}.
+     *
+     * @param prefix the prefix of the keys
+     * @return the records, with all writes that were acknowledged before the call
+     */
+    CompletableFuture<List<SharedRecord>> readCurrentRecords(String prefix);
+
     /**
      * Writes a record unconditionally.
      *
@@ -68,6 +76,22 @@
      */
     CompletableFuture<OptionalLong> putRecordIf(String key, String value, long lease, Map<String, Long> expected);
 
+    /**
+     * Reads what the platform has been told of releases.
+     *
+     * @return the current status of each pool that has one
+     */
+    CompletableFuture<Map<String, ReleaseStatus>> readReleaseStatuses();
+
+    /**
+     * Tells the platform how far a release has come, if the given records have the expected revisions.
+     *
+     * @param status the status
+     * @param expected the expected revisions by key of records, zero for a record that must not exist
+     * @return the revision of the write, or empty if a record did not have its expected revision
+     */
+    CompletableFuture<OptionalLong> putReleaseStatus(ReleaseStatus status, Map<String, Long> expected);
+
     /**
      * Grants a lease, which starts when the store receives the call.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
@@ -64,6 +64,7 @@
      * @param avoidedTargets targets to select only if there is no other
      * @param tokens the size of the request in tokens
      * @param engineSpec the capacity of the pool's engines, or null for a pool of applications
+     * @param permitted whether a target may run the request at all
      */
     public record Request(
             Set<String> triedIds,
@@ -72,10 +73,12 @@
             long minWeightsVersion,
             Set<TargetEntry.Incarnation> avoidedTargets,
             long tokens,
-            PoolSpec.@Nullable EngineSpec engineSpec) {
+            PoolSpec.@Nullable EngineSpec engineSpec,
+            Predicate<LiveTarget> permitted) {
 
         private boolean isEligible(LiveTarget target) {
             return target.acceptsRequests()
+                    && permitted.test(target)
                     && !triedIds.contains(target.entry().id())
                     && (model == null || minWeightsVersion == 0 || target.weightsVersion(model) >= minWeightsVersion);
         }
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -61,6 +61,16 @@
             .classicUpperBounds(STALENESS_BUCKETS_SECONDS)
             .classicOnly()
             .register(registry);
+    private final Counter releaseResponses = Counter.builder()
+            .name("bluebellshunt_relay_release_responses_total")
+            .help("Responses during roll-outs of software versions, by version (old, new) and result.")
+            .labelNames("version", "result")
+            .register(registry);
+    private final Gauge releasePhase = Gauge.builder()
+            .name("bluebellshunt_relay_release_phase")
+            .help("Phase of the pool's latest roll-out: 0 unknown, 1 running, 2 accepted, 3 completed, 4 rolled back.")
+            .labelNames("pool")
+            .register(registry);
     private final Gauge configurationVersion = Gauge.builder()
             .name("bluebellshunt_relay_configuration_version")
             .help("The configuration in force.")
@@ -160,6 +170,26 @@
         replacedWeights.observe(seconds);
     }
 
+    /**
+     * Counts a response during the roll-out of a software version.
+     *
+     * @param version {@code old} or {@code new}
+     * @param result the result, from a fixed set
+     */
+    public void releaseResponse(String version, String result) {
+        releaseResponses.labelValues(version, result).inc();
+    }
+
+    /**
+     * Records the phase of a pool's latest roll-out.
+     *
+     * @param pool the name of the pool
+     * @param phase the number of the phase
+     */
+    public void releasePhase(String pool, int phase) {
+        releasePhase.labelValues(pool).set(phase);
+    }
+
     /**
      * Records the version and age of the current configuration.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/weights/RolloutLease.java
@@ -26,7 +26,7 @@
  * renewed until the store has confirmed the holder record: it may have been lost, and the ordering record of a VM that
  * is no longer the holder would only delay the next one. Confined to the control thread.
  */
-final class RolloutLease {
+public final class RolloutLease {
 
     /** Time to live of the holder record; covers two lost renewals. */
     static final Duration HOLDER_TTL = Duration.ofSeconds(2);
@@ -40,8 +40,7 @@
     /** Time for the last order of a holder to reach its engine. */
     static final Duration ORDER_DELIVERY_MARGIN = Duration.ofMillis(300);
 
-    private static final String HOLDER_KEY = "bluebellshunt/holder";
-    private static final String ORDERING_KEY = "bluebellshunt/ordering";
+    private static final String KEY_PREFIX = "bluebellshunt/";
     private static final long ABSENT_REVISION = 0;
     private static final Logger log = LoggerFactory.getLogger("weights");
 
@@ -49,6 +48,8 @@
     private final ControlExecutor control;
     private final MonotonicClock clock;
     private final String vm;
+    private final String holderKey;
+    private final String orderingKey;
     private final Duration orderingTtl;
     private long holderLease = SharedStore.NO_LEASE;
     private long orderingLease = SharedStore.NO_LEASE;
@@ -68,10 +69,32 @@
      */
     RolloutLease(
             SharedStore store, ControlExecutor control, MonotonicClock clock, String vm, Duration minHandoverInterval) {
+        this(store, control, clock, vm, minHandoverInterval, KEY_PREFIX);
+    }
+
+    /**
+     * Creates a lease of another purpose that is not held.
+     *
+     * @param store the store with the records of the lease
+     * @param control the executor of the control thread
+     * @param clock a clock that includes the time during which the VM is suspended
+     * @param vm the name of this VM
+     * @param minHandoverInterval the minimum time between the orders of two holders
+     * @param keyPrefix the prefix of the keys of both records
+     */
+    public RolloutLease(
+            SharedStore store,
+            ControlExecutor control,
+            MonotonicClock clock,
+            String vm,
+            Duration minHandoverInterval,
+            String keyPrefix) {
         this.store = store;
         this.control = control;
         this.clock = clock;
         this.vm = vm;
+        this.holderKey = keyPrefix + "holder";
+        this.orderingKey = keyPrefix + "ordering";
         this.orderingTtl = ORDER_WINDOW.plus(minHandoverInterval).plus(ORDER_DELIVERY_MARGIN);
         this.nextHolderRenewal = new Deadline(clock.nanos());
         this.nextOrderingRenewal = nextHolderRenewal;
@@ -79,12 +102,21 @@
         this.holderExpiry = nextHolderRenewal;
     }
 
-    boolean isHeld() {
+    /**
+     * Returns whether this VM holds the lease, as far as it knows.
+     *
+     * @return false before it was acquired and after it was lost
+     */
+    public boolean isHeld() {
         return holderLease != SharedStore.NO_LEASE;
     }
 
-    /** Returns whether this VM holds the lease and the holder record has not expired by the clock of this VM. */
-    boolean isUnexpired() {
+    /**
+     * Returns whether this VM holds the lease and the holder record has not expired by the clock of this VM.
+     *
+     * @return false if another VM may be the holder
+     */
+    public boolean isUnexpired() {
         return isHeld() && !holderExpiry.hasPassed(clock);
     }
 
@@ -93,13 +125,26 @@
         return isUnexpired() && !orderDeadline.hasPassed(clock);
     }
 
-    /** Returns the fencing token, which increases with each holder. */
-    long fencingToken() {
+    /**
+     * Returns the key of the record whose revision is the fencing token.
+     *
+     * @return the key
+     */
+    public String holderKey() {
+        return holderKey;
+    }
+
+    /**
+     * Returns the fencing token, which increases with each holder.
+     *
+     * @return the revision of the holder record
+     */
+    public long fencingToken() {
         return fencingToken;
     }
 
     /** Tries to acquire the lease. */
-    void tryAcquire() {
+    public void tryAcquire() {
         if (holderCallPending) {
             return;
         }
@@ -124,7 +169,7 @@
     }
 
     /** Renews the holder record if its renewal is due. */
-    void renewIfDue() {
+    public void renewIfDue() {
         if (holderCallPending || !nextHolderRenewal.hasPassed(clock)) {
             return;
         }
@@ -181,7 +226,7 @@
             return;
         }
         control.onCompletion(
-                store.putRecordIf(ORDERING_KEY, vm, lease, Map.of(HOLDER_KEY, fencingToken)),
+                store.putRecordIf(orderingKey, vm, lease, Map.of(holderKey, fencingToken)),
                 revision -> {
                     if (revision.isEmpty()) {
                         orderingCallPending = false;
@@ -210,9 +255,9 @@
     }
 
     private CompletableFuture<LeasedWrite> writeHolderRecord() {
-        Map<String, Long> noHolder = Map.of(HOLDER_KEY, ABSENT_REVISION, ORDERING_KEY, ABSENT_REVISION);
+        Map<String, Long> noHolder = Map.of(holderKey, ABSENT_REVISION, orderingKey, ABSENT_REVISION);
         return store.grantLease(HOLDER_TTL)
-                .thenCompose(lease -> store.putRecordIf(HOLDER_KEY, vm, lease, noHolder)
+                .thenCompose(lease -> store.putRecordIf(holderKey, vm, lease, noHolder)
                         .thenCompose(revision -> revision.isPresent()
                                 ? CompletableFuture.completedFuture(new LeasedWrite(lease, revision))
                                 : store.revokeLease(lease).thenApply(revoked -> new LeasedWrite(lease, revision))));
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -174,7 +174,8 @@
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(2),
                 ENTRY_LIFETIME,
-                Duration.ofSeconds(8));
+                Duration.ofSeconds(8),
+                null);
         EngineControl noEngines = new EngineControl() {
             @Override
             public CompletableFuture<EngineState> readState(TargetEntry engine, Consumer<TargetSignals> signals) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/SimulatedFleet.java
@@ -13,6 +13,7 @@
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.PublishedWeights;
 import dev.bluebellshunt.relay.store.RegisteredTargets;
+import dev.bluebellshunt.relay.store.ReleaseStatus;
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
@@ -155,7 +156,8 @@
                     control,
                     clock,
                     timer(Duration.ofMillis(250)),
-                    name);
+                    name,
+                    () -> PeerObservations.NONE);
         }
 
         private JitteredTimer timer(Duration interval) {
@@ -324,6 +326,21 @@
             return Duration.ofMillis(random.nextInt(1 + (int) maxStoreDelay.toMillis()));
         }
 
+        @Override
+        public CompletableFuture<List<SharedRecord>> readCurrentRecords(String prefix) {
+            return delayed(() -> store.readCurrentRecords(prefix));
+        }
+
+        @Override
+        public CompletableFuture<Map<String, ReleaseStatus>> readReleaseStatuses() {
+            return delayed(store::readReleaseStatuses);
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> putReleaseStatus(ReleaseStatus status, Map<String, Long> expected) {
+            return delayed(() -> store.putReleaseStatus(status, expected));
+        }
+
         /** Reads each model on a page of its own. The pages are no snapshot, and the revision is that of the first. */
         @Override
         public CompletableFuture<OperatorState> readOperatorState() {
--- a/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/proxy/AbstractRelayHandlerTests.java
@@ -14,6 +14,7 @@
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.model.TargetEntry;
 import dev.bluebellshunt.relay.peer.PeerReportTable;
+import dev.bluebellshunt.relay.release.Releases;
 import dev.bluebellshunt.relay.store.OperatorState;
 import dev.bluebellshunt.relay.store.OperatorStateSystem;
 import dev.bluebellshunt.relay.store.RevisionTimes;
@@ -195,6 +196,8 @@
         written.get(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
+    final Releases releases = new Releases(clock, metrics, directory::loading);
+
     @BeforeEach
     void start() {
         for (int i = 0; i < 2; i++) {
@@ -229,7 +232,8 @@
                 metrics,
                 clock,
                 MAX_CONFIGURATION_AGE,
-                Duration.ofSeconds(6));
+                Duration.ofSeconds(6),
+                releases);
         handler = new RelayHandler(context);
         port = HttpServers.start(
                         "relay",
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
@@ -58,7 +58,8 @@
                 minWeightsVersion,
                 avoidedTargets,
                 2_000,
-                new PoolSpec.EngineSpec(48, 200_000));
+                new PoolSpec.EngineSpec(48, 200_000),
+                target -> true);
     }
 
     private LiveTarget select(@Nullable String affinityKey) {
--- a/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/testing/FakeSharedStore.java
@@ -6,8 +6,10 @@
 import dev.bluebellshunt.relay.store.HistoryLostException;
 import dev.bluebellshunt.relay.store.LeaseExpiredException;
 import dev.bluebellshunt.relay.store.OperatorState;
+import dev.bluebellshunt.relay.store.PublishedRelease;
 import dev.bluebellshunt.relay.store.PublishedWeights;
 import dev.bluebellshunt.relay.store.RegisteredTargets;
+import dev.bluebellshunt.relay.store.ReleaseStatus;
 import dev.bluebellshunt.relay.store.SharedRecord;
 import dev.bluebellshunt.relay.store.SharedStore;
 import java.time.Duration;
@@ -58,6 +60,8 @@
     private final Map<String, Integer> recordReads = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Map<String, List<PublishedWeights>> weights = new HashMap<>();
+    private final Map<String, ReleaseStatus> releaseStatuses = new HashMap<>();
+    private final Map<String, PublishedRelease> releases = new HashMap<>();
     private @Nullable RelayConfiguration configuration;
     private long configurationRevision;
     private final List<Runnable> lateWrites = new ArrayList<>();
@@ -111,6 +115,7 @@
         change.weights()
                 .forEach((model, versions) ->
                         weights.computeIfAbsent(model, m -> new ArrayList<>()).addAll(versions));
+        change.releases().forEach(order -> releases.put(order.pool(), order));
         List<Watch> pending = List.copyOf(watches);
         watches.clear();
         pending.forEach(watch -> watch.response().complete(changesSince(watch.afterRevision())));
@@ -121,6 +126,23 @@
         publish(new OperatorState(0, null, Map.of(model, List.of(new PublishedWeights(version, revision + 1)))));
     }
 
+    /** Publishes an order to move a pool to another software version, and completes the pending watches with it. */
+    public synchronized void publishRelease(String pool, String version, Duration period) {
+        publish(new OperatorState(
+                0, null, Map.of(), List.of(new PublishedRelease(pool, version, period, revision + 1))));
+    }
+
+    /** Loses all records and statuses, as a store that is restored from an older copy. */
+    public synchronized void loseReleases() {
+        records.clear();
+        leases.clear();
+        releaseStatuses.clear();
+    }
+
+    public synchronized @Nullable ReleaseStatus releaseStatus(String pool) {
+        return releaseStatuses.get(pool);
+    }
+
     private OperatorState changesSince(long afterRevision) {
         Map<String, List<PublishedWeights>> changes = new HashMap<>();
         weights.forEach((model, versions) -> {
@@ -131,11 +153,19 @@
                 changes.put(model, newer);
             }
         });
-        return new OperatorState(revision, configurationRevision > afterRevision ? configuration : null, changes);
+        return new OperatorState(
+                revision,
+                configurationRevision > afterRevision ? configuration : null,
+                changes,
+                releases.values().stream()
+                        .filter(order -> order.revision() > afterRevision)
+                        .toList());
     }
 
     private static boolean isEmpty(OperatorState change) {
-        return change.configuration() == null && change.weights().isEmpty();
+        return change.configuration() == null
+                && change.weights().isEmpty()
+                && change.releases().isEmpty();
     }
 
     /** Completes all pending watches without a change. */
@@ -151,7 +181,7 @@
             historyDiscarded = false;
             Map<String, List<PublishedWeights>> latest = new HashMap<>();
             weights.forEach((model, versions) -> latest.put(model, List.of(versions.getLast())));
-            return new OperatorState(revision, configuration, latest);
+            return new OperatorState(revision, configuration, latest, List.copyOf(releases.values()));
         });
     }
 
@@ -203,6 +233,34 @@
                 .toList());
     }
 
+    @Override
+    public CompletableFuture<List<SharedRecord>> readCurrentRecords(String prefix) {
+        return readRecords(prefix);
+    }
+
+    @Override
+    public CompletableFuture<Map<String, ReleaseStatus>> readReleaseStatuses() {
+        return read(() -> Map.copyOf(releaseStatuses));
+    }
+
+    @Override
+    public CompletableFuture<OptionalLong> putReleaseStatus(ReleaseStatus status, Map<String, Long> expected) {
+        return writeRecord(() -> {
+            if (!hasRevisions(expected)) {
+                return OptionalLong.empty();
+            }
+            releaseStatuses.put(status.pool(), status);
+            return OptionalLong.of(++revision);
+        });
+    }
+
+    private boolean hasRevisions(Map<String, Long> expected) {
+        return expected.entrySet().stream().allMatch(other -> {
+            StoredRecord stored = records.get(other.getKey());
+            return (stored == null ? 0 : stored.revision()) == other.getValue();
+        });
+    }
+
     @Override
     public CompletableFuture<Void> putRecord(String key, String value, long lease) {
         return writeRecord(() -> {
@@ -217,11 +275,8 @@
             String key, String value, long lease, Map<String, Long> expected) {
         return writeRecord(() -> {
             requireLease(lease);
-            for (Map.Entry<String, Long> other : expected.entrySet()) {
-                StoredRecord stored = records.get(other.getKey());
-                if ((stored == null ? 0 : stored.revision()) != other.getValue()) {
-                    return OptionalLong.empty();
-                }
+            if (!hasRevisions(expected)) {
+                return OptionalLong.empty();
             }
             records.put(key, new StoredRecord(value, ++revision, lease));
             return OptionalLong.of(revision);
