--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -10,7 +10,6 @@
 import dev.bluebellshunt.relay.model.RelayRoute;
 import dev.bluebellshunt.relay.model.RelayWorkspace;
 import dev.bluebellshunt.relay.model.RouteKind;
-import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.ResponseFraming;
@@ -20,7 +19,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpStatus;
@@ -314,7 +312,7 @@
         }
         history.recordPossiblyExecuted();
         if (ownResponse && model != null && weightsVersion != null) {
-            recordWeights(model, weightsVersion);
+            ReplacedWeights.record(context, requestId(), target, model, weightsVersion, sentNanos);
         }
         if (ownResponse) {
             crashes.recordResponse(target, exchange.connection());
@@ -357,33 +355,6 @@
         return forwardResponse(target, route, exchange, response);
     }
 
-    /** Records how long the weights with which a response begins have been replaced. */
-    private void recordWeights(String model, long weightsVersion) {
-        DesiredWeights desired = context.operatorState().weights().get(model);
-        OptionalLong superseded = desired == null ? OptionalLong.empty() : desired.supersededNanos(weightsVersion);
-        if (superseded.isEmpty()) {
-            return;
-        }
-        Duration staleness = Duration.ofNanos(context.clock().nanos() - superseded.getAsLong());
-        context.metrics().replacedWeights(staleness.toMillis() / 1_000.0);
-        if (staleness.compareTo(context.maxWeightsStaleness()) > 0) {
-            context.decisionLog()
-                    .write(
-                            "replaced_weights",
-                            requestId(),
-                            "target",
-                            lastTarget,
-                            "weights",
-                            weightsVersion,
-                            "replaced_ms",
-                            staleness.toMillis(),
-                            "ms_since_send",
-                            TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - sentNanos),
-                            "configuration_age_ms",
-                            context.operatorState().age().toMillis());
-        }
-    }
-
     private boolean shouldAbandon(LiveTarget target, RetryDecision retries) {
         return retries.mayAbandon(
                         target.load().isUsable(),
