Let the soak roll out software versions of the applications

The operator orders another version, whose targets start beside the old ones; half of the versions are bad. ReleaseChecks compares the records of all targets with the orders: EXPOSURE, ROUTE, and with planned work how each release ended. FaultTests names the new kind among the planned ones. The soak itself has not been run with it yet.

--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/Fault.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/Fault.java
@@ -39,7 +39,8 @@
         LINK_ONE_WAY(Place.LINK, false, 6_000, 2_000),
         LINK_SILENCE(Place.LINK, false, 6_000, 2_000),
         NAME_WEIGHTS(Place.POOL, true, 2_500, 1),
-        CHANGE_CONFIGURATION(Place.OPERATOR, true, 7_000, 1);
+        CHANGE_CONFIGURATION(Place.OPERATOR, true, 7_000, 1),
+        RELEASE(Place.OPERATOR, true, 12_000, 1);
 
         private final Place place;
         private final boolean planned;
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/FaultInjector.java
@@ -8,15 +8,21 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Carries out the planned faults, each on a thread of its own, and counts those that took place. */
 final class FaultInjector {
 
     private static final int MAX_DELAY_MILLIS = 150;
+    private static final int PERIOD_SECONDS = 12;
+    private static final long TARGET_START_MILLIS = 1_500;
+    private static final long RELEASE_EXTRA_MILLIS = 2_000;
+    private static final long DRAIN_DELAY_MILLIS = 2_000;
 
     private final SoakFleet fleet;
     private final Operator operator;
     private final PrintStream log;
+    private final AtomicBoolean releasing = new AtomicBoolean();
     private final List<Thread> threads = new ArrayList<>();
     private final Map<Fault.Kind, Integer> counts = new EnumMap<>(Fault.Kind.class);
     private final List<PlannedWorkChecks.Ending> endings = new ArrayList<>();
@@ -95,9 +101,34 @@
                 operator.changeConfiguration(fault.choice());
                 yield true;
             }
+            case RELEASE -> release(fault);
         };
     }
 
+    /** Moves the applications to another version, unless a release is under way. */
+    private boolean release(Fault fault) throws IOException, InterruptedException {
+        if (!releasing.compareAndSet(false, true)) {
+            return false;
+        }
+        try {
+            boolean bad = fault.choice() % 2 == 0;
+            SoakFleet.Generation generation = fleet.startVersion(bad, fault.choice());
+            Thread.sleep(TARGET_START_MILLIS);
+            Operator.Release release = operator.release(
+                    Operator.APPLICATION_POOL, generation.version(), bad, PERIOD_SECONDS, RELEASE_EXTRA_MILLIS);
+            log(fault, release.toString());
+            if (release.isCompleted()) {
+                fleet.retire(generation.replaced(), true);
+                return true;
+            }
+            Thread.sleep(DRAIN_DELAY_MILLIS);
+            fleet.retire(generation.started(), false);
+            return true;
+        } finally {
+            releasing.set(false);
+        }
+    }
+
     private static boolean suspend(ManagedProcess process, Fault fault) throws IOException, InterruptedException {
         int start = process.starts();
         if (!process.suspend()) {
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/ManagedProcess.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/ManagedProcess.java
@@ -118,6 +118,16 @@
         return sender.waitFor(SIGNAL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) && sender.exitValue() == 0;
     }
 
+    /** Ends the process for good, at once or after it has drained. */
+    synchronized void retire(boolean atOnce) throws IOException, InterruptedException {
+        closed = true;
+        if (atOnce) {
+            kill();
+        } else {
+            terminate();
+        }
+    }
+
     /** Kills the process for good. */
     @Override
     public synchronized void close() {
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/PromiseChecks.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/PromiseChecks.java
@@ -50,6 +50,12 @@
         CONFIGURATION,
         /** A run on weights that had been replaced. */
         VERSION,
+        /** More requests to a bad version than the bounds allow, or later ones. */
+        EXPOSURE,
+        /** A run on a version to which nothing had sent it. */
+        ROUTE,
+        /** A release that has not ended as its version deserves. */
+        RELEASE,
         /** A request that reached a target which had left. */
         DRAIN,
         /** A request that was cut off beside planned work. */
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/Soak.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/Soak.java
@@ -91,6 +91,7 @@
         List<TargetRecord.Entry> entries = fleet.readRecords();
         List<PromiseChecks.Violation> violations = new ArrayList<>(PromiseChecks.check(callers, entries));
         violations.addAll(OperatorChecks.check(callers, entries, operator.configurations()));
+        violations.addAll(ReleaseChecks.check(entries, operator.releases(), Fault.isPlannedOnly(options.seed())));
         if (Fault.isPlannedOnly(options.seed())) {
             violations.addAll(PlannedWorkChecks.check(
                     callers, entries, operator.configurations(), operator.namedWeights(), injector.endings()));
--- a/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/dev/bluebellshunt/lab/soak/SoakFleet.java
@@ -32,6 +32,7 @@
     private static final long READY_POLL_MILLIS = 100;
     private static final long START_TIMEOUT_MILLIS = 30_000;
     private static final int SLOTS = 24;
+    private static final String FIRST_VERSION = "v1";
 
     private final Closer closer;
     private final Path root;
@@ -41,9 +42,11 @@
     private final long seed;
     private final Map<String, VmProcess> vms = new LinkedHashMap<>();
     private final Map<String, ManagedProcess> targets = new LinkedHashMap<>();
-    private final Map<String, LoopbackProxy> links = new LinkedHashMap<>();
+    private final Map<String, LoopbackProxy> links = new ConcurrentHashMap<>();
     private final Map<String, Integer> misses = new ConcurrentHashMap<>();
     private final List<Path> records = new ArrayList<>();
+    private final List<ManagedProcess> applications = new ArrayList<>();
+    private int versions = 1;
     private final int storePort;
     private int nextPort = FIRST_PORT;
 
@@ -132,25 +135,74 @@
 
     private void addTargets(String pool, int count, SplittableRandom seeds) throws IOException {
         for (int i = 0; i < count; i++) {
-            String name = pool + "-" + i;
-            int port = freePort();
-            Path record = folder.resolve(name + ".record");
-            TargetSettings settings = new TargetSettings(
-                    name,
-                    pool,
-                    Operator.model(pool).orElse(""),
-                    failureDomain(i),
-                    hostName,
-                    port,
-                    link("to-" + name, port).port(),
-                    storePort,
-                    seeds.nextLong(),
-                    record.toString(),
-                    SLOTS);
-            Path file = folder.resolve(name + ".json");
-            Files.writeString(file, Json.write(settings));
+            addTarget(pool + "-" + i, pool, i, seeds.nextLong(), FIRST_VERSION, false);
+        }
+    }
+
+    private ManagedProcess addTarget(String name, String pool, int number, long behaviour, String version, boolean bad)
+            throws IOException {
+        int port = freePort();
+        Path record = folder.resolve(name + ".record");
+        TargetSettings settings = new TargetSettings(
+                name,
+                pool,
+                Operator.model(pool).orElse(""),
+                failureDomain(number),
+                hostName,
+                port,
+                link("to-" + name, port).port(),
+                storePort,
+                behaviour,
+                record.toString(),
+                SLOTS,
+                version,
+                bad);
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, Json.write(settings));
+        ManagedProcess target = child(name, TargetProcess.class, List.of(file.toString()));
+        synchronized (this) {
             records.add(record);
-            targets.put(name, child(name, TargetProcess.class, List.of(file.toString())));
+            targets.put(name, target);
+            if (pool.equals(Operator.APPLICATION_POOL)) {
+                applications.add(target);
+            }
+        }
+        return target;
+    }
+
+    /**
+     * The targets of a version that were started beside others.
+     *
+     * @param version the version
+     * @param started the targets of this version
+     * @param replaced the targets of the version that they may replace
+     */
+    record Generation(String version, List<ManagedProcess> started, List<ManagedProcess> replaced) {}
+
+    /** Starts as many targets of another version as the pool of applications has, with names of their own. */
+    Generation startVersion(boolean bad, long behaviour) throws IOException {
+        List<ManagedProcess> replaced;
+        synchronized (this) {
+            replaced = List.copyOf(applications);
+        }
+        String version = "v" + ++versions;
+        List<ManagedProcess> started = new ArrayList<>();
+        for (int i = 0; i < replaced.size(); i++) {
+            String name = Operator.APPLICATION_POOL + "-" + version + "-" + i;
+            ManagedProcess target = addTarget(name, Operator.APPLICATION_POOL, i, behaviour + i, version, bad);
+            target.start();
+            started.add(target);
+        }
+        return new Generation(version, started, replaced);
+    }
+
+    /** Ends targets for good, at once or after they have drained. */
+    void retire(List<ManagedProcess> ended, boolean atOnce) throws IOException, InterruptedException {
+        synchronized (this) {
+            applications.removeAll(ended);
+        }
+        for (ManagedProcess target : ended) {
+            target.retire(atOnce);
         }
     }
 
@@ -199,7 +251,7 @@
         }
     }
 
-    List<ManagedProcess> processes() {
+    synchronized List<ManagedProcess> processes() {
         List<ManagedProcess> all = new ArrayList<>(targets.values());
         vms.values().forEach(vm -> all.add(vm.process()));
         return all;
@@ -238,7 +290,10 @@
 
     ManagedProcess process(String name) {
         VmProcess vm = vms.get(name);
-        ManagedProcess target = targets.get(name);
+        ManagedProcess target;
+        synchronized (this) {
+            target = targets.get(name);
+        }
         if (vm != null) {
             return vm.process();
         }
--- a/lab/src/test/java/dev/bluebellshunt/lab/soak/FaultTests.java
+++ b/lab/src/test/java/dev/bluebellshunt/lab/soak/FaultTests.java
@@ -46,6 +46,7 @@
                         Fault.Kind.VM_HANGUP,
                         Fault.Kind.TARGET_TERM,
                         Fault.Kind.NAME_WEIGHTS,
-                        Fault.Kind.CHANGE_CONFIGURATION)));
+                        Fault.Kind.CHANGE_CONFIGURATION,
+                        Fault.Kind.RELEASE)));
     }
 }
