Treat all versions of a pool alike until an order is known

Cause: with the settings of roll-outs present, a pool without an order was served by one version only, and another one got nothing as long as a target of the first was registered, or for 30 s after. A rolling replacement without an order lost the capacity of each replaced target. After a roll-back, a third version got nothing either.

Change: versions restrict the choice only while an order is known; a roll-back excludes the version that lost and no other. The old version of an order is that of the target that started first. Not changed: after a completed release only its version is served.

--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
@@ -43,9 +43,6 @@
     /** Minimum time between acceptance and completion, in which all VMs in touch learn of the acceptance. */
     static final Duration ACCEPTANCE_SPREAD = Duration.ofSeconds(2);
 
-    /** Time without any target of the base version after which a pool without an order is served by another one. */
-    static final Duration BASE_RETENTION = Duration.ofSeconds(30);
-
     /** Parts of the period between two samples of the sums, and samples that make up the recent part. */
     private static final int SAMPLES_PER_PERIOD = 24;
 
@@ -149,7 +146,6 @@
     private final class Pool {
         private final String name;
         private @Nullable String base;
-        private long baseSeenNanos;
         private String ignoredOrder = "";
         private ReleaseState.@Nullable Current current;
         private ReleasePhase phase = ReleasePhase.UNKNOWN;
@@ -198,12 +194,9 @@
             if (serving != null
                     && targets.stream()
                             .anyMatch(t -> t.entry().softwareVersion().equals(serving))) {
-                baseSeenNanos = clock.nanos();
                 return;
             }
-            boolean kept =
-                    serving != null && (known != null || clock.nanos() - baseSeenNanos < BASE_RETENTION.toNanos());
-            if (kept) {
+            if (serving != null && known != null) {
                 return;
             }
             targets.stream()
@@ -212,10 +205,7 @@
                                     && entry.softwareVersion()
                                             .equals(known.order().targetVersion()))
                             .thenComparingLong(TargetEntry::bornMillis))
-                    .ifPresent(entry -> {
-                        base = entry.softwareVersion();
-                        baseSeenNanos = clock.nanos();
-                    });
+                    .ifPresent(entry -> base = entry.softwareVersion());
         }
 
         private ReleaseState update(List<LiveTarget> targets, List<ReleaseStore.Plan> plans) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/Releases.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/Releases.java
@@ -132,12 +132,12 @@
          */
         public boolean permits(LiveTarget target) {
             ReleaseState state = states.get(pool);
-            if (state == null) {
+            if (state == null || state.current() == null) {
                 return true;
             }
             String version = target.entry().softwareVersion();
-            if (state.current() == null) {
-                return version.equals(state.base());
+            if (state.phase() == ReleasePhase.ROLLED_BACK && !state.isNewOnly()) {
+                return !version.equals(state.targetVersion());
             }
             Boolean chosen = newVersion;
             if (chosen == null) {
