Learn the speed of each engine relative to its pool

Nothing on the wire says how fast an engine is, and all estimates assume 60 tokens per millisecond. EngineSpeeds records the time to the first event of each stream relative to the time that its uncached tokens and those ahead would take, adds up the observations of all VMs (PeerObservations.speeds) with a half-life of 2 s, and sets a factor relative to the mean of the pool. What slows down the whole pool therefore changes no factor. Factors have levels of 0.15 (logarithm) with hysteresis; an engine that differs by less than 27 % keeps 1, as do engines without observations. They belong to an incarnation and are discarded with it.

Nothing uses the factors yet.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -31,6 +31,7 @@
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedStore;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
+import dev.bluebellshunt.relay.target.EngineSpeeds;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.target.TargetListSystem;
@@ -248,6 +249,7 @@
                 new JitteredTimer(clock, random, PEER_INTERVAL),
                 settings.vm());
         control.add(peerSystem);
+        control.add(new EngineSpeeds(directory, peerReports, new JitteredTimer(clock, random, PEER_INTERVAL)));
         control.add(new PromptCacheStoreSystem(
                 cacheStores, cacheStoreIndex, operators, control, clock, topology::followsHub));
         JitteredTimer housekeeping = new JitteredTimer(clock, random, HOUSEKEEPING_INTERVAL);
--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerSystem.java
@@ -178,7 +178,7 @@
                 limits.retryUsage(),
                 Set.of(vm),
                 Map.of(),
-                PeerObservations.NONE);
+                new PeerObservations(localSpeeds(), Map.of()));
     }
 
     private Map<String, InFlightLoad> localLoad() {
@@ -194,6 +194,19 @@
         return localLoad;
     }
 
+    private Map<String, SpeedSample> localSpeeds() {
+        Map<String, SpeedSample> speeds = new HashMap<>();
+        for (List<LiveTarget> pool : directory.snapshot().byPool().values()) {
+            for (LiveTarget target : pool) {
+                SpeedSample sample = target.load().speed().reportedSample();
+                if (sample.weight() > 0) {
+                    speeds.put(target.entry().incarnation().name(), sample);
+                }
+            }
+        }
+        return speeds;
+    }
+
     private void reportToHubs(List<String> hubs) {
         currentHub = "";
         receiver.prefixUpdates().add(vm, engineCacheIndex.drainUpdates(), true);
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/PromptCachePlan.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/PromptCachePlan.java
@@ -34,11 +34,42 @@
             CallerRequestMetadata metadata,
             @Nullable RelayWorkspace workspace,
             String model) {
+        String domain = domain(context, target, workspace, model);
+        return new PromptCachePlan(domain, source(context, target, domain, metadata), store(context, domain, metadata));
+    }
+
+    private static String domain(
+            RelayContext context, LiveTarget target, @Nullable RelayWorkspace workspace, String model) {
         RelayConfiguration configuration =
                 context.operatorState().configuration().orElseThrow();
         String scope = configuration.cacheScope(workspace == null ? null : workspace.name());
-        String domain = scope + "/" + target.weightsVersion(model);
-        return new PromptCachePlan(domain, source(context, target, domain, metadata), store(context, domain, metadata));
+        return scope + "/" + target.weightsVersion(model);
+    }
+
+    /**
+     * Returns how many tokens of a prompt an engine has to compute, as far as is known: all that are neither in the store
+     * nor in the cache of an engine, from which they can be fetched in far less time.
+     */
+    static long uncachedTokens(
+            RelayContext context,
+            LiveTarget target,
+            CallerRequestMetadata metadata,
+            @Nullable RelayWorkspace workspace,
+            String model) {
+        List<String> sharedPartIds = metadata.sharedPartIds();
+        if (sharedPartIds.isEmpty()) {
+            return metadata.promptTokens();
+        }
+        String domain = domain(context, target, workspace, model);
+        int cachedParts =
+                context.cacheStoreIndex().findSource(domain, sharedPartIds).isPresent()
+                        ? sharedPartIds.size()
+                        : context.engineCacheIndex().countCached(domain, sharedPartIds);
+        long cachedTokens = 0;
+        for (int i = 0; i < cachedParts; i++) {
+            cachedTokens += metadata.promptParts().get(i).tokens();
+        }
+        return Math.max(0, metadata.promptTokens() - cachedTokens);
     }
 
     /**
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -465,6 +465,9 @@
         try {
             if (route.kind() == RouteKind.STREAM) {
                 firstBytes = readFirstChunk(body, buffer);
+                if (HttpStatus.isSuccess(response.getStatus())) {
+                    choice.recordFirstEvent(Duration.ofNanos(context.clock().nanos() - sentNanos));
+                }
             } else {
                 BodyBuffer buffered = new BodyBuffer(caller.memory());
                 whole = buffered.readToEnd(body, MAX_BUFFERED_RESPONSE_BYTES);
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -1,12 +1,14 @@
 package dev.bluebellshunt.relay.proxy;
 
 import dev.bluebellshunt.relay.target.CompletionEstimate;
+import dev.bluebellshunt.relay.target.EngineSpeeds;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the target of each send of one request, together with whether the request is late: one that can no longer
@@ -24,6 +26,8 @@
     private final SendHistory history;
     private final long receivedNanos;
     private boolean late;
+    private PoolTargetSelector.@Nullable Selection chosen;
+    private long uncachedTokens;
 
     TargetChoice(RelayContext context, CallerRequest caller, SendHistory history, long receivedNanos) {
         this.context = context;
@@ -76,9 +80,29 @@
                         "No target with recent weights is available for a late request.", NO_TARGET_RETRY_DELAY);
             }
         }
+        chosen = selection.get();
+        uncachedTokens = uncachedTokens(selection.get().target());
         return new Outcome.Chosen(selection.get().target());
     }
 
+    private long uncachedTokens(LiveTarget target) {
+        String model = caller.metadata().model();
+        return model == null
+                ? 0
+                : PromptCachePlan.uncachedTokens(context, target, caller.metadata(), caller.workspace(), model);
+    }
+
+    /**
+     * Records the time to the first event of the chosen target. A late request waits for all others, so that its time says
+     * nothing about the target.
+     */
+    void recordFirstEvent(Duration sinceSend) {
+        PoolTargetSelector.Selection selection = chosen;
+        if (selection != null && !late && caller.metadata().model() != null) {
+            EngineSpeeds.record(selection.target(), uncachedTokens, selection.backlogTokens(), sinceSend);
+        }
+    }
+
     private CompletionEstimate.Outcome estimate(PoolTargetSelector.Selection selection) {
         return CompletionEstimate.estimate(
                 selection,
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/EngineCacheIndex.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/EngineCacheIndex.java
@@ -136,4 +136,23 @@
         }
         return Optional.empty();
     }
+
+    /**
+     * Returns how many leading segments of a prompt some engine has computed, which therefore need not be computed again.
+     *
+     * @param domain the cache domain
+     * @param segmentIds the ids of the shared segments, in prompt order
+     * @return the number of leading segments
+     */
+    public synchronized int countCached(String domain, List<String> segmentIds) {
+        int count = 0;
+        for (String segmentId : segmentIds) {
+            CacheLocation location = locations.get(new Segment(domain, segmentId));
+            if (location == null || location.expiry().hasPassed(clock)) {
+                return count;
+            }
+            count++;
+        }
+        return count;
+    }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -26,6 +26,7 @@
 
     private final MonotonicClock clock;
     private final ProcessEvidence evidence;
+    private final ObservedSpeed speed;
     private final Map<String, Long> weightsVersions = new HashMap<>();
     private int openRequests;
     private long openTokens;
@@ -46,6 +47,7 @@
     public TargetLoad(MonotonicClock clock) {
         this.clock = clock;
         this.evidence = new ProcessEvidence(clock);
+        this.speed = new ObservedSpeed(clock);
         this.backoffDeadline = new Deadline(clock.nanos());
         this.overloadDeadline = backoffDeadline;
         this.refusalEnd = backoffDeadline;
@@ -216,6 +218,15 @@
         return evidence;
     }
 
+    /**
+     * Returns the observed speed of the target.
+     *
+     * @return the speed
+     */
+    public ObservedSpeed speed() {
+        return speed;
+    }
+
     /**
      * Records the version of a model's weights that the target has.
      *
