Choose engines by time instead of tokens, with the speed of each

Queues of engines were compared in tokens at one assumed speed, so that slow engines got as much work as fast ones. Home engines now follow weighted rendezvous hashing (RendezvousOrder), and costs, the late-or-not estimate and the time of the late queue are in milliseconds at the speed of the engine. Most requests go to a home with a short queue and no longer sort all engines.

The half-life of speed observations is 2 s where there are many and 8 s where there are few, and an observation weighs the square of the share of its own tokens: with the plain share and 2 s, the queues at high load made equal engines seem different.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -123,6 +123,7 @@
                                 minimumWeightsVersion(),
                                 context.targetDirectory().loading(),
                                 caller.metadata().totalTokens(),
+                                this::uncachedTokens,
                                 caller.pool().engine()));
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
@@ -10,9 +10,6 @@
  */
 public final class CompletionEstimate {
 
-    /** Approximate prefill throughput of an engine, used only to estimate waiting times. */
-    private static final long PREFILL_TOKENS_PER_MS = 60;
-
     private CompletionEstimate() {}
 
     /** What a request can still achieve. */
@@ -48,11 +45,11 @@
             long elapsedMillis,
             long objectiveMillis,
             long remainingMillis) {
-        long startMillis = (selection.backlogTokens() + promptTokens) / PREFILL_TOKENS_PER_MS;
+        long startMillis = selection.prefillMillis(selection.backlogTokens() + promptTokens);
         if (elapsedMillis + startMillis <= objectiveMillis) {
             return new Outcome.OnTime();
         }
-        long lateQueueMillis = selection.lateTokens() / PREFILL_TOKENS_PER_MS;
+        long lateQueueMillis = selection.prefillMillis(selection.lateTokens());
         return startMillis + lateQueueMillis > remainingMillis
                 ? new Outcome.Hopeless(Duration.ofMillis(lateQueueMillis))
                 : new Outcome.Late();
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/EngineSpeeds.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/EngineSpeeds.java
@@ -25,8 +25,14 @@
      */
     public static final double TOKENS_PER_MS = 60;
 
-    /** Fixed part of the time to the first event: the connection and a few steps of running requests. */
-    private static final double BASE_MILLIS = 10;
+    /** Fixed part of the time to the first event: the link, and a step of running requests. */
+    private static final double BASE_MILLIS = 5;
+
+    /**
+     * The largest piece of another prompt that an engine finishes first, in any case. Engines do not say whether they
+     * have begun one, so that the time of a prompt of about this size says little.
+     */
+    private static final long CHUNK_TOKENS = 2_048;
 
     /** Smaller prompts say more about the steps of running requests than about the speed. */
     private static final long MIN_TOKENS = 256;
@@ -74,8 +80,10 @@
         double expectedMillis = BASE_MILLIS + (tokens + tokensAhead) / TOKENS_PER_MS;
         double millis = Math.max(1, toFirstEvent.toNanos() / 1e6);
         double logRatio = Math.clamp(Math.log(expectedMillis / millis), -MAX_LOG_RATIO, MAX_LOG_RATIO);
-        // The requests ahead may have been processed since they were reported, and others may have come.
-        engine.load().speed().record(logRatio, tokens / (double) (tokens + tokensAhead));
+        // The requests ahead may have been processed since they were reported, and others may have come. With the plain
+        // share as the weight, the queues at high load made equal engines seem different (EngineFleetSimulation).
+        double ownShare = tokens / (double) (tokens + tokensAhead + CHUNK_TOKENS);
+        engine.load().speed().record(logRatio, ownShare * ownShare);
     }
 
     @Override
@@ -89,6 +97,7 @@
     /** Computes the speeds of the engines of a pool. */
     static void update(List<LiveTarget> pool, Map<String, SpeedSample> reported) {
         double[] logRatios = new double[pool.size()];
+        double[] weights = new double[pool.size()];
         double sum = 0;
         for (int i = 0; i < logRatios.length; i++) {
             LiveTarget engine = pool.get(i);
@@ -97,12 +106,13 @@
                     .sample()
                     .plus(reported.getOrDefault(engine.entry().incarnation().name(), SpeedSample.NONE));
             logRatios[i] = sample.sumLogRatio() / (sample.weight() + PRIOR_WEIGHT);
+            weights[i] = sample.weight();
             sum += logRatios[i];
         }
         for (int i = 0; i < logRatios.length; i++) {
             LiveTarget engine = pool.get(i);
             double logRatio = logRatios[i] - sum / logRatios.length;
-            if (engine.load().speed().update(logRatio)) {
+            if (engine.load().speed().update(logRatio, weights[i])) {
                 log.info(
                         "Engine {} now counts as {} times as fast as its pool; it was observed as {}.",
                         engine.entry().incarnation().name(),
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/ObservedSpeed.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/ObservedSpeed.java
@@ -10,8 +10,14 @@
  */
 public final class ObservedSpeed {
 
-    /** Half-life of an observation; an engine that is slow for five seconds has to be noticed well within that time. */
-    static final Duration HALF_LIFE = Duration.ofSeconds(2);
+    /** Half-life of an observation while there are many: an engine that is slow for five seconds has to be noticed. */
+    static final Duration MIN_HALF_LIFE = Duration.ofSeconds(2);
+
+    /** Half-life while there are few, as at high load, when most times depend on the queue and say little. */
+    static final Duration MAX_HALF_LIFE = Duration.ofSeconds(8);
+
+    /** Weight of the observations of all VMs above which older ones are forgotten sooner. */
+    private static final double SUFFICIENT_WEIGHT = 8;
 
     /** Logarithm of the ratio of two adjacent speeds that are told apart. */
     static final double LEVEL_LOG_RATIO = 0.15;
@@ -37,6 +43,7 @@
     private double weight;
     private double sumLogRatio;
     private long decayedNanos;
+    private double halfLifeNanos = MAX_HALF_LIFE.toNanos();
     private int level;
     private volatile double factor = 1;
 
@@ -59,7 +66,7 @@
 
     private void decay() {
         long now = clock.nanos();
-        double kept = Math.pow(0.5, (now - decayedNanos) / (double) HALF_LIFE.toNanos());
+        double kept = Math.pow(0.5, (now - decayedNanos) / halfLifeNanos);
         weight *= kept;
         sumLogRatio *= kept;
         decayedNanos = now;
@@ -95,9 +102,15 @@
      * Sets the speed from the logarithm of its ratio to the mean of the pool. A small difference changes nothing.
      *
      * @param logRatio the logarithm of the ratio
+     * @param totalWeight the weight of the observations of all VMs
      * @return whether the speed has changed
      */
-    synchronized boolean update(double logRatio) {
+    synchronized boolean update(double logRatio, double totalWeight) {
+        decay();
+        halfLifeNanos = Math.clamp(
+                MAX_HALF_LIFE.toNanos() * SUFFICIENT_WEIGHT / Math.max(1, totalWeight),
+                MIN_HALF_LIFE.toNanos(),
+                MAX_HALF_LIFE.toNanos());
         double levels = logRatio / LEVEL_LOG_RATIO;
         boolean unchanged = level == 0
                 ? Math.abs(levels) < DIFFERENT_LEVELS
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
@@ -1,6 +1,5 @@
 package dev.bluebellshunt.relay.target;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import dev.bluebellshunt.core.time.MonotonicClock;
 import dev.bluebellshunt.relay.model.PoolSpec;
 import dev.bluebellshunt.relay.model.TargetEntry;
@@ -12,30 +11,31 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Selects a target from a pool.
  *
- * <p>Requests with the same prompt prefix have one home engine, determined by rendezvous hashing, so that all
- * VMs agree on it without communication. A request is diverted only if it would start considerably sooner on
+ * <p>Requests with the same prompt prefix have one home engine, determined by rendezvous hashing weighted with the speeds
+ * of the engines, so that all VMs agree on it without communication. A request is diverted only if it would start considerably sooner on
  * another engine; engines are then preferred in rendezvous order. Requests without an affinity key go to the
  * target with the fewest open requests.
  */
 public final class PoolTargetSelector {
 
     /**
-     * Prompt tokens by which the backlog of the home engine may exceed that of another engine. This is about a
-     * quarter of a second of prefill: short relative to the latency objectives, but more than one long prompt.
+     * Time by which the queue of the home engine may exceed that of another engine: short relative to the latency
+     * objectives, but more than the prefill of one long prompt.
      */
-    static final long HOME_PREFERENCE_TOKENS = 16_000;
+    static final double HOME_PREFERENCE_MILLIS = 267;
 
-    /** Tokens added per rank in rendezvous order, so that diverted requests of a prefix share an engine again. */
-    static final long RANK_PENALTY_TOKENS = 500;
+    /** Time added per rank in rendezvous order, so that diverted requests of a prefix share an engine again. */
+    static final double RANK_PENALTY_MILLIS = 8;
 
-    /** Token equivalent of a request beyond an engine's slots; it waits until another request has ended. */
-    static final long QUEUED_REQUEST_TOKENS = 4_000;
+    /** Time that a request beyond the slots of an average engine waits until another request has ended. */
+    static final double QUEUED_REQUEST_MILLIS = 67;
 
     /** Weight of this VM's own requests, which are known at once; those of peers are known one report later. */
     static final int LOCAL_REQUEST_WEIGHT = 2;
@@ -63,6 +63,7 @@
      * @param minWeightsVersion the oldest version of the model's weights that may run the request, or zero for any
      * @param avoidedTargets targets to select only if there is no other
      * @param tokens the size of the request in tokens
+     * @param uncachedTokens estimates how many tokens of the prompt an engine has to compute
      * @param engineSpec the capacity of the pool's engines, or null for a pool of applications
      */
     public record Request(
@@ -72,6 +73,7 @@
             long minWeightsVersion,
             Set<TargetEntry.Incarnation> avoidedTargets,
             long tokens,
+            ToLongFunction<LiveTarget> uncachedTokens,
             PoolSpec.@Nullable EngineSpec engineSpec) {
 
         private boolean isEligible(LiveTarget target) {
@@ -88,7 +90,19 @@
      * @param backlogTokens prompt tokens to process before a request that can still meet its objective
      * @param lateTokens additional prompt tokens to process before a request that can't meet its objective
      */
-    public record Selection(LiveTarget target, long backlogTokens, long lateTokens) {}
+    public record Selection(LiveTarget target, long backlogTokens, long lateTokens) {
+
+        /**
+         * Returns how long the engine takes to compute prompt tokens.
+         *
+         * @param tokens the number of tokens
+         * @return the time in milliseconds, rounded down
+         */
+        long prefillMillis(long tokens) {
+            return (long) (tokens
+                    / (EngineSpeeds.TOKENS_PER_MS * target.load().speed().factor()));
+        }
+    }
 
     /**
      * Selects a target.
@@ -149,9 +163,10 @@
      * @return the home target, or empty if no target accepts requests
      */
     public static Optional<LiveTarget> homeTarget(List<LiveTarget> targets, String affinityKey) {
-        return targets.stream()
+        List<LiveTarget> usable = targets.stream()
                 .filter(target -> target.acceptsRequests() && target.load().isUsable())
-                .min(Comparator.comparingLong(target -> rendezvousScore(affinityKey, target)));
+                .toList();
+        return usable.isEmpty() ? Optional.empty() : Optional.of(RendezvousOrder.first(usable, affinityKey));
     }
 
     private Selection selectLeastLoaded(List<LiveTarget> candidates) {
@@ -175,46 +190,68 @@
     }
 
     private Selection selectByAffinity(List<LiveTarget> candidates, String affinityKey, Request request) {
-        List<LiveTarget> ranked = candidates.stream()
-                .sorted(Comparator.comparingLong(target -> rendezvousScore(affinityKey, target)))
-                .toList();
+        LiveTarget home = RendezvousOrder.first(candidates, affinityKey);
+        long promptTokens = request.uncachedTokens().applyAsLong(home);
+        // Most requests go to an engine with a short queue, and need no order of the others.
+        double homeMillis = millis(home, request, promptTokens);
+        return homeMillis <= HOME_PREFERENCE_MILLIS + fewestMillis(candidates, promptTokens)
+                ? selection(home, request)
+                : selection(leastCostly(candidates, affinityKey, request, promptTokens), request);
+    }
+
+    private LiveTarget leastCostly(
+            List<LiveTarget> candidates, String affinityKey, Request request, long promptTokens) {
+        List<LiveTarget> ranked = RendezvousOrder.rank(candidates, affinityKey);
         LiveTarget best = ranked.getFirst();
-        long lowestCost = Long.MAX_VALUE;
+        double lowestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
             LiveTarget target = ranked.get(rank);
-            long cost = backlogTokens(target, request)
-                    + (rank == 0 ? 0 : HOME_PREFERENCE_TOKENS + rank * RANK_PENALTY_TOKENS);
+            double cost = millis(target, request, promptTokens)
+                    + (rank == 0 ? 0 : HOME_PREFERENCE_MILLIS + rank * RANK_PENALTY_MILLIS);
             if (cost < lowestCost) {
                 best = target;
                 lowestCost = cost;
             }
         }
-        long lateTokens =
-                best.load().inFlightLoad().plus(peers.loadOn(best.entry().id())).lateTokens();
-        return new Selection(best, backlogTokens(best, request), lateTokens);
+        return best;
+    }
+
+    /** Returns the time to the first event on the fastest engine, if nothing waits there. */
+    private static double fewestMillis(List<LiveTarget> candidates, long promptTokens) {
+        double fastest = 0;
+        for (LiveTarget candidate : candidates) {
+            fastest = Math.max(fastest, candidate.load().speed().factor());
+        }
+        return promptTokens / (EngineSpeeds.TOKENS_PER_MS * fastest);
+    }
+
+    private Selection selection(LiveTarget target, Request request) {
+        InFlightLoad load = load(target);
+        return new Selection(target, backlogTokens(target, load, request), load.lateTokens());
+    }
+
+    private InFlightLoad load(LiveTarget target) {
+        return target.load().inFlightLoad().plus(peers.loadOn(target.entry().id()));
+    }
+
+    /** Returns the estimated time to the first event on a target. */
+    private double millis(LiveTarget target, Request request, long promptTokens) {
+        return (backlogTokens(target, load(target), request) + promptTokens)
+                / (EngineSpeeds.TOKENS_PER_MS * target.load().speed().factor());
     }
 
     /**
      * Returns the waiting prompt tokens of a target, plus the tokens that exceed its cache and an equivalent for the
      * requests that exceed its slots.
      */
-    private long backlogTokens(LiveTarget target, Request request) {
-        InFlightLoad load =
-                target.load().inFlightLoad().plus(peers.loadOn(target.entry().id()));
+    private static long backlogTokens(LiveTarget target, InFlightLoad load, Request request) {
         long backlog = load.waitingTokens();
         PoolSpec.EngineSpec engine = request.engineSpec();
         if (engine != null && engine.cacheTokens() > 0) {
             backlog += Math.max(0, load.tokens() + request.tokens() - engine.cacheTokens());
         }
         int slots = engine == null ? target.entry().slots() : engine.slots();
-        return backlog + QUEUED_REQUEST_TOKENS * Math.max(0, load.requests() + 1 - slots);
-    }
-
-    private static long rendezvousScore(String affinityKey, LiveTarget target) {
-        return Hashing.komihash5_0()
-                .hashStream()
-                .putString(affinityKey)
-                .putString(target.entry().id())
-                .getAsLong();
+        int queued = Math.max(0, load.requests() + 1 - slots);
+        return backlog + (long) (queued * QUEUED_REQUEST_MILLIS * EngineSpeeds.TOKENS_PER_MS);
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
@@ -23,6 +23,9 @@
 /** Tests target selection by prefix affinity, backlog, health, weights version and number of open requests. */
 class PoolTargetSelectorTests {
 
+    private static final long HOME_PREFERENCE_TOKENS =
+            (long) (PoolTargetSelector.HOME_PREFERENCE_MILLIS * EngineSpeeds.TOKENS_PER_MS);
+
     private final ManualClock clock = new ManualClock();
     private final PeerReportTable peers = new PeerReportTable(clock, Duration.ofSeconds(8));
     private final PoolTargetSelector selector = new PoolTargetSelector(new Random(3), peers);
@@ -58,6 +61,7 @@
                 minWeightsVersion,
                 avoidedTargets,
                 2_000,
+                engine -> 2_000,
                 new PoolSpec.EngineSpec(48, 200_000));
     }
 
@@ -88,8 +92,8 @@
             most = Math.max(most, engine.load().inFlightLoad().waitingTokens());
             least = Math.min(least, engine.load().inFlightLoad().waitingTokens());
         }
-        long maxDifference = PoolTargetSelector.HOME_PREFERENCE_TOKENS
-                + engines.size() * PoolTargetSelector.RANK_PENALTY_TOKENS
+        long maxDifference = HOME_PREFERENCE_TOKENS
+                + engines.size() * (long) (PoolTargetSelector.RANK_PENALTY_MILLIS * EngineSpeeds.TOKENS_PER_MS)
                 + 2_000;
         assertThat(most - least, lessThanOrEqualTo(maxDifference));
     }
@@ -97,10 +101,10 @@
     @Test
     void prefixStaysOnHomeEngineWithSmallBacklog() {
         LiveTarget home = select("p");
-        home.load().requestSent(PoolTargetSelector.HOME_PREFERENCE_TOKENS / 2, false);
+        home.load().requestSent(HOME_PREFERENCE_TOKENS / 2, false);
         assertThat(select("p"), equalTo(home));
-        home.load().firstByteReceived(PoolTargetSelector.HOME_PREFERENCE_TOKENS / 2, false);
-        home.load().requestSent(PoolTargetSelector.HOME_PREFERENCE_TOKENS / 2, false);
+        home.load().firstByteReceived(HOME_PREFERENCE_TOKENS / 2, false);
+        home.load().requestSent(HOME_PREFERENCE_TOKENS / 2, false);
         assertThat(select("p"), equalTo(home));
     }
 
@@ -197,4 +201,22 @@
         home.load().bytesReceived();
         assertThat(select("p"), equalTo(home));
     }
+
+    /** Guards against queues that are compared in tokens, which lets a slow engine's requests wait longer. */
+    @Test
+    void queueOfSlowEngineCountsInTime() {
+        LiveTarget home = select("p");
+        home.load().requestSent(10_000, false);
+        assertThat(select("p"), equalTo(home));
+        home.load().speed().update(Math.log(0.5), 8);
+        assertThat(select(keyWithHome(home)), not(home));
+    }
+
+    private String keyWithHome(LiveTarget home) {
+        for (int i = 0; ; i++) {
+            if (RendezvousOrder.first(engines, "k" + i).equals(home)) {
+                return "k" + i;
+            }
+        }
+    }
 }
