--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -34,6 +34,7 @@
 import dev.bluebellshunt.relay.store.RevisionTimes;
 import dev.bluebellshunt.relay.store.SharedStore;
 import dev.bluebellshunt.relay.target.EngineCacheIndex;
+import dev.bluebellshunt.relay.target.EngineSpeeds;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
 import dev.bluebellshunt.relay.target.TargetDirectory;
 import dev.bluebellshunt.relay.target.TargetListSystem;
@@ -263,6 +264,7 @@
                     random,
                     settings.vm()));
         }
+        EngineSpeeds speeds = new EngineSpeeds(directory, peerReports, new JitteredTimer(clock, random, PEER_INTERVAL));
         PeerSystem peerSystem = new PeerSystem(
                 new HttpReportClient(peers),
                 topology,
@@ -280,8 +282,12 @@
                 clock,
                 new JitteredTimer(clock, random, PEER_INTERVAL),
                 settings.vm(),
-                () -> new PeerObservations(Map.of(), releases.observations()));
+                () -> new PeerObservations(
+                        settings.engineSpeeds() ? speeds.observed() : Map.of(), releases.observations()));
         control.add(peerSystem);
+        if (settings.engineSpeeds()) {
+            control.add(speeds);
+        }
         control.add(new PromptCacheStoreSystem(
                 cacheStores, cacheStoreIndex, operators, control, clock, topology::followsHub));
         JitteredTimer housekeeping = new JitteredTimer(clock, random, HOUSEKEEPING_INTERVAL);
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
@@ -197,9 +197,6 @@
         private void updateBase(List<LiveTarget> targets) {
             ReleaseState.Current known = current;
             if (known != null && phase == ReleasePhase.COMPLETED) {
-                if (!known.order().targetVersion().equals(base)) {
-                    replaced = base;
-                }
                 base = known.order().targetVersion();
             }
             String serving = base;
@@ -326,6 +323,9 @@
                     latest,
                     phase);
             phase = latest;
+            if (phase == ReleasePhase.COMPLETED && !order.targetVersion().equals(base)) {
+                replaced = base;
+            }
             acceptedNanos = clock.nanos();
             oldBusyNanos = clock.nanos();
         }
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -177,6 +177,7 @@
                 ENTRY_LIFETIME,
                 Duration.ofSeconds(8),
                 ConnectionBounds.of(430, 4_100, 96 << 20),
+                false,
                 null);
         EngineControl noEngines = new EngineControl() {
             @Override
--- a/relay/src/test/java/dev/bluebellshunt/relay/release/ReleaseSystemTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/release/ReleaseSystemTests.java
@@ -37,7 +37,13 @@
     /** Guards against targets that replace others without an order and get nothing, and against a canary before the record. */
     @Test
     void versionsAreTreatedAlikeUntilAnOrderIsKnown() {
+        fleet.run(ReleaseSystem.NEW_VERSION_HOLD.plusSeconds(1));
         fleet.addTargets(NEW, 4);
+        fleet.run(ReleaseSystem.NEW_VERSION_HOLD.dividedBy(2));
+        assertThat("sent to a version that has just appeared", fleet.newRequests, is(0L));
+        fleet.run(ReleaseSystem.NEW_VERSION_HOLD);
+        fleet.requests = 0;
+        fleet.newRequests = 0;
         fleet.run(Duration.ofSeconds(5));
         assertThat(fleet.newRequests, greaterThan(2 * fleet.requests / 7));
         fleet.removeTargets(OLD);
