--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -74,9 +74,9 @@
         if (history.possiblyExecuted() == 0 && caller.metadata().model() != null) {
             CompletionEstimate.Outcome estimate = estimate(selection.get());
             late = !(estimate instanceof CompletionEstimate.Outcome.OnTime);
-            if (estimate instanceof CompletionEstimate.Outcome.Hopeless hopeless) {
+            if (estimate instanceof CompletionEstimate.Outcome.MissesDeadline missed) {
                 return new Outcome.TooLate(Duration.ofMillis(Math.max(
-                        NO_TARGET_RETRY_DELAY.toMillis(), hopeless.queue().toMillis() / 2)));
+                        NO_TARGET_RETRY_DELAY.toMillis(), missed.queue().toMillis() / 2)));
             }
         }
         if (late != wasLate) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseDecision.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseDecision.java
@@ -14,7 +14,7 @@
  * Decides how a release goes on, from the outcomes at both versions over all VMs. A pure function.
  *
  * <p>A version is bad if its failures or slow responses on a route, or on all routes, would be very improbable at the
- * rate of the old version. The new targets are in two groups: a sick target makes only one of them look bad, a bad
+ * rate of the old version. The new targets are in two groups: a faulty target makes only one of them look bad, a bad
  * version both. All times are fractions of the period that the operator gave, so that the store may be unavailable for a
  * part of it.
  */
@@ -74,7 +74,7 @@
     /** The same at the latest time of acceptance, when both errors are equally costly. */
     private static final double GROUP_AFFECTED_AT_END = 0.02;
 
-    /** Factor on both for failures, which a sick target, other than a bad version, rarely has. */
+    /** Factor on both for failures, which a faulty target, other than a bad version, rarely has. */
     private static final double FAILURE_FACTOR = 10;
 
     /** Probability above which a group looks good. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
@@ -26,7 +26,7 @@
          *
          * @param queue the time until the requests that already miss their objectives have started
          */
-        record Hopeless(Duration queue) implements Outcome {}
+        record MissesDeadline(Duration queue) implements Outcome {}
     }
 
     /**
@@ -51,7 +51,7 @@
         }
         long lateQueueMillis = selection.prefillMillis(selection.lateTokens());
         return startMillis + lateQueueMillis > remainingMillis
-                ? new Outcome.Hopeless(Duration.ofMillis(lateQueueMillis))
+                ? new Outcome.MissesDeadline(Duration.ofMillis(lateQueueMillis))
                 : new Outcome.Late();
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/release/SimulatedRelease.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/release/SimulatedRelease.java
@@ -60,8 +60,8 @@
     private final List<ReleaseExposure> vms = new ArrayList<>();
     private final double badShare;
     private final double badFrom;
-    private final int sickTarget;
-    private final double sickFrom;
+    private final int faultyTarget;
+    private final double faultyFrom;
     private final Map<String, long[]> counts = new HashMap<>();
     private final Deque<ReleaseCounts> known = new ArrayDeque<>();
     private final Deque<Runnable> responses = new ArrayDeque<>();
@@ -77,8 +77,8 @@
         this.targets = 3 + random.nextInt(10);
         this.badShare = 0.3 + 0.7 * random.nextDouble();
         this.badFrom = kind == Kind.BAD_LATER ? 0.1 + 0.3 * random.nextDouble() : 0;
-        this.sickTarget = random.nextInt(targets);
-        this.sickFrom = 0.7 * random.nextDouble();
+        this.faultyTarget = random.nextInt(targets);
+        this.faultyFrom = 0.7 * random.nextDouble();
         for (int i = 0; i < vmCount; i++) {
             vms.add(new ReleaseExposure(CANARY_SHARE, random.split()));
         }
@@ -173,8 +173,8 @@
             failed |= isBad && kind != Kind.SLOW;
             slow |= isBad && kind == Kind.SLOW;
             double at = now / (double) PERIOD_MILLIS;
-            boolean sick = target == sickTarget && at >= sickFrom && at < sickFrom + 0.25;
-            slow |= kind == Kind.GOOD_WITH_NOISE && sick;
+            boolean faulty = target == faultyTarget && at >= faultyFrom && at < faultyFrom + 0.25;
+            slow |= kind == Kind.GOOD_WITH_NOISE && faulty;
             if (isBad && ++bad == 50) {
                 fiftiethBadMillis = now;
             }
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/CompletionEstimateTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/CompletionEstimateTests.java
@@ -30,6 +30,6 @@
     @Test
     void lateRequestIsRejectedOnlyIfItStartsAfterItsDeadline() {
         assertThat(estimate(60_000, 60_000, 0, 2_200), equalTo(new Outcome.Late()));
-        assertThat(estimate(60_000, 60_000, 0, 2_199), equalTo(new Outcome.Hopeless(Duration.ofSeconds(1))));
+        assertThat(estimate(60_000, 60_000, 0, 2_199), equalTo(new Outcome.MissesDeadline(Duration.ofSeconds(1))));
     }
 }
