Count only uncached prompt tokens as the queue of an engine

Engines do not compute the parts of a prompt that are cached or can be fetched, and output tokens are no prefill, but both counted as queue, and the estimate charged the whole prompt. A long prompt with a cached half diverted short ones and was called late without need. The waiting tokens of a target and the estimate now count what is neither in the prompt cache store nor in the cache of an engine, as far as this VM and its peers know.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -247,10 +247,11 @@
     /** Sends the request to a target. Returns false if it failed and may be retried, as far as the route allows. */
     private boolean attempt(LiveTarget target, RelayRoute route, RetryDecision retries) throws IOException {
         long tokens = Math.max(1, caller.metadata().totalTokens());
+        long uncachedTokens = choice.uncachedTokens();
         int earlierSends = history.recordSend(target.entry());
         lastTarget = target.entry().id();
         lastTargetBornMillis = target.entry().bornMillis();
-        target.load().requestSent(tokens, choice.isLate());
+        target.load().requestSent(tokens, uncachedTokens, choice.isLate());
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         responseBegun = false;
@@ -271,7 +272,7 @@
             return processExchange(target, route, retries, exchange);
         } finally {
             crashes.recordAttemptEnd();
-            target.load().requestEnded(tokens, choice.isLate(), responseBegun);
+            target.load().requestEnded(tokens, uncachedTokens, choice.isLate(), responseBegun);
             setExchange(null);
         }
     }
@@ -286,7 +287,7 @@
             return false;
         }
         responseBegun = true;
-        target.load().firstByteReceived(Math.max(1, caller.metadata().totalTokens()), choice.isLate());
+        target.load().firstByteReceived(choice.uncachedTokens(), choice.isLate());
         TargetResponseMetadata metadata =
                 context.headerCodec().readResponseHeaders(lastTarget, response.getStatus(), response.getHeaders());
         String model = caller.metadata().model();
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -85,6 +85,11 @@
         return new Outcome.Chosen(selection.get().target());
     }
 
+    /** Returns how many tokens of the prompt the chosen target has to compute, as far as is known. */
+    long uncachedTokens() {
+        return uncachedTokens;
+    }
+
     private long uncachedTokens(LiveTarget target) {
         String model = caller.metadata().model();
         return model == null
@@ -106,7 +111,7 @@
     private CompletionEstimate.Outcome estimate(PoolTargetSelector.Selection selection) {
         return CompletionEstimate.estimate(
                 selection,
-                caller.metadata().promptTokens(),
+                uncachedTokens(selection.target()),
                 TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - receivedNanos),
                 caller.route().objective().toMillis(),
                 caller.deadline().remaining(context.clock()).toMillis());
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
@@ -33,7 +33,7 @@
      * Estimates the outcome of a request.
      *
      * @param selection the engine and its queue
-     * @param promptTokens the size of the prompt
+     * @param promptTokens the tokens of the prompt that are not cached
      * @param elapsedMillis the time since the request arrived
      * @param objectiveMillis the time from the arrival to the first event that the route asks for
      * @param remainingMillis the time until the deadline of the request
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/InFlightLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/InFlightLoad.java
@@ -7,8 +7,9 @@
  *
  * @param requests the number of open requests, whose responses are not complete
  * @param tokens the tokens of the open requests
- * @param waitingTokens the tokens of open requests without a first response byte that can still meet their objective
- * @param lateTokens the tokens of open requests without a first response byte that run after all other requests
+ * @param waitingTokens the uncached prompt tokens of open requests without a first response byte that can still meet
+ *     their objective
+ * @param lateTokens the uncached prompt tokens of open requests without a first response byte that run after all other requests
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY) // field names would make up most of the size of a peer report
 public record InFlightLoad(int requests, long tokens, long waitingTokens, long lateTokens) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -54,43 +54,66 @@
     }
 
     /**
-     * Records that a request is sent to the target.
+     * Records that a request is sent to the target, of which nothing is known to be cached.
      *
      * @param tokens the size of the request in tokens
      * @param late whether it runs only after all requests that can still meet their latency objectives
      */
     public synchronized void requestSent(long tokens, boolean late) {
+        requestSent(tokens, tokens, late);
+    }
+
+    /**
+     * Records that a request is sent to the target.
+     *
+     * @param tokens the size of the request in tokens
+     * @param uncachedTokens the tokens of its prompt that the target has to compute
+     * @param late whether it runs only after all requests that can still meet their latency objectives
+     */
+    public synchronized void requestSent(long tokens, long uncachedTokens, boolean late) {
         if (openRequests == 0) {
             lastProgressNanos = clock.nanos();
         }
         openRequests++;
         openTokens += tokens;
-        addWaitingTokens(tokens, late);
+        addWaitingTokens(uncachedTokens, late);
     }
 
     /**
      * Records the first response byte of a request.
      *
-     * @param tokens the size that the request was sent with
+     * @param uncachedTokens the uncached tokens that the request was sent with
      * @param late whether the request was sent as late
      */
-    public synchronized void firstByteReceived(long tokens, boolean late) {
-        addWaitingTokens(-tokens, late);
+    public synchronized void firstByteReceived(long uncachedTokens, boolean late) {
+        addWaitingTokens(-uncachedTokens, late);
         lastProgressNanos = clock.nanos();
     }
 
     /**
-     * Records the end of a request.
+     * Records the end of a request of which nothing was known to be cached.
      *
      * @param tokens the size that the request was sent with
      * @param late whether the request was sent as late
      * @param firstByteReceived whether the first response byte had been received
      */
     public synchronized void requestEnded(long tokens, boolean late, boolean firstByteReceived) {
+        requestEnded(tokens, tokens, late, firstByteReceived);
+    }
+
+    /**
+     * Records the end of a request.
+     *
+     * @param tokens the size that the request was sent with
+     * @param uncachedTokens the uncached tokens that the request was sent with
+     * @param late whether the request was sent as late
+     * @param firstByteReceived whether the first response byte had been received
+     */
+    public synchronized void requestEnded(long tokens, long uncachedTokens, boolean late, boolean firstByteReceived) {
         openRequests--;
         openTokens -= tokens;
         if (!firstByteReceived) {
-            addWaitingTokens(-tokens, late);
+            addWaitingTokens(-uncachedTokens, late);
         }
     }
 
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/EngineCacheIndexTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/EngineCacheIndexTests.java
@@ -62,4 +62,15 @@
         index.recordCached("e2", "d", List.of("root", "subject"));
         assertThat(index.drainUpdates(), anEmptyMap());
     }
+
+    /** Guards against prompts that count as cached although an engine has to compute them, or as long although it has not. */
+    @Test
+    void leadingSegmentsOfAnyEngineCountAsCached() {
+        index.recordCached("e1", "d", List.of("a", "b"));
+        assertThat(index.countCached("d", List.of("a", "b", "c")), equalTo(2));
+        assertThat(index.countCached("d", List.of("c", "a")), equalTo(0));
+        assertThat(index.countCached("other", List.of("a")), equalTo(0));
+        clock.advance(EngineCacheIndex.ENTRY_TTL);
+        assertThat(index.countCached("d", List.of("a", "b")), equalTo(0));
+    }
 }
