Choose engines for long and short prompts by urgency, with few candidates

An engine computes the more urgent prompts first, but the queue ahead of a request counted all waiting prompts, whether they were more or less urgent. And all VMs diverted prompts to the engine whose queue was the shortest in reports that are up to half a second old, so that it got the prompts of all.

InFlightLoad now counts the waiting tokens of priorities 0 and 1 apart. The estimate uses the tokens of requests as urgent, the cost adds half of those that the request delays. A prompt is diverted to the next four engines in rendezvous order or to three others at random, and the own waiting requests stand for those that other VMs have sent since their reports, up to four times and no more than the ratio of open requests.

On the way hotPrefixIsSpreadOverEngines failed, since each engine beyond the first five was considered with a probability of 0.1; it is now that of three engines on average.

--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/CallerRequest.java
@@ -96,6 +96,16 @@
         return workspace;
     }
 
+    /**
+     * Returns the priority of the request, 0 being the highest. That of its workspace, if set, takes precedence over that
+     * of its route.
+     */
+    int priority() {
+        RelayWorkspace holder = workspace;
+        int workspacePriority = holder == null ? RelayWorkspace.NO_PRIORITY : holder.priority();
+        return Math.max(0, workspacePriority == RelayWorkspace.NO_PRIORITY ? route().priority() : workspacePriority);
+    }
+
     /** Returns the earlier of the deadlines of the caller and the route. */
     Deadline deadline() {
         return deadline;
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -12,6 +12,7 @@
 import dev.bluebellshunt.relay.model.RouteKind;
 import dev.bluebellshunt.relay.store.DesiredWeights;
 import dev.bluebellshunt.relay.target.LiveTarget;
+import dev.bluebellshunt.relay.target.SentRequest;
 import dev.bluebellshunt.transport.ResponseBody;
 import dev.bluebellshunt.transport.ResponseFraming;
 import java.io.IOException;
@@ -246,12 +247,11 @@
 
     /** Sends the request to a target. Returns false if it failed and may be retried, as far as the route allows. */
     private boolean attempt(LiveTarget target, RelayRoute route, RetryDecision retries) throws IOException {
-        long tokens = Math.max(1, caller.metadata().totalTokens());
-        long uncachedTokens = choice.uncachedTokens();
+        SentRequest sent = choice.sentRequest();
         int earlierSends = history.recordSend(target.entry());
         lastTarget = target.entry().id();
         lastTargetBornMillis = target.entry().bornMillis();
-        target.load().requestSent(tokens, uncachedTokens, choice.isLate());
+        target.load().requestSent(sent);
         Duration timeout = caller.deadline().remaining(context.clock());
         sentNanos = context.clock().nanos();
         responseBegun = false;
@@ -272,7 +272,7 @@
             return processExchange(target, route, retries, exchange);
         } finally {
             crashes.recordAttemptEnd();
-            target.load().requestEnded(tokens, uncachedTokens, choice.isLate(), responseBegun);
+            target.load().requestEnded(sent, responseBegun);
             setExchange(null);
         }
     }
@@ -287,7 +287,7 @@
             return false;
         }
         responseBegun = true;
-        target.load().firstByteReceived(choice.uncachedTokens(), choice.isLate());
+        target.load().firstByteReceived(choice.sentRequest());
         TargetResponseMetadata metadata =
                 context.headerCodec().readResponseHeaders(lastTarget, response.getStatus(), response.getHeaders());
         String model = caller.metadata().model();
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -4,6 +4,7 @@
 import dev.bluebellshunt.relay.target.EngineSpeeds;
 import dev.bluebellshunt.relay.target.LiveTarget;
 import dev.bluebellshunt.relay.target.PoolTargetSelector;
+import dev.bluebellshunt.relay.target.SentRequest;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -85,9 +86,9 @@
         return new Outcome.Chosen(selection.get().target());
     }
 
-    /** Returns how many tokens of the prompt the chosen target has to compute, as far as is known. */
-    long uncachedTokens() {
-        return uncachedTokens;
+    /** Returns the size and the urgency with which the request is sent to the chosen target. */
+    SentRequest sentRequest() {
+        return new SentRequest(Math.max(1, caller.metadata().totalTokens()), uncachedTokens, caller.priority(), late);
     }
 
     private long uncachedTokens(LiveTarget target) {
@@ -128,6 +129,7 @@
                                 minimumWeightsVersion(),
                                 context.targetDirectory().loading(),
                                 caller.metadata().totalTokens(),
+                                caller.priority(),
                                 this::uncachedTokens,
                                 caller.pool().engine()));
     }
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetRequestHeaders.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetRequestHeaders.java
@@ -62,15 +62,7 @@
                 timeout);
     }
 
-    /**
-     * Returns the urgency of a request that can still meet its objective. The priority of its workspace, if set,
-     * takes precedence over that of its route.
-     */
     private static int urgency(CallerRequest caller) {
-        RelayWorkspace workspace = caller.workspace();
-        int workspacePriority = workspace == null ? RelayWorkspace.NO_PRIORITY : workspace.priority();
-        int priority =
-                workspacePriority == RelayWorkspace.NO_PRIORITY ? caller.route().priority() : workspacePriority;
-        return Math.min(LATE_URGENCY - 1, TOP_PRIORITY_URGENCY + URGENCY_PER_PRIORITY * Math.max(0, priority));
+        return Math.min(LATE_URGENCY - 1, TOP_PRIORITY_URGENCY + URGENCY_PER_PRIORITY * caller.priority());
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
@@ -32,11 +32,32 @@
     static final double HOME_PREFERENCE_MILLIS = 267;
 
     /** Time added per rank in rendezvous order, so that diverted requests of a prefix share an engine again. */
-    static final double RANK_PENALTY_MILLIS = 8;
+    static final double RANK_PENALTY_MILLIS = 20;
+
+    /** Number of engines in rendezvous order to which a prompt is preferably diverted. */
+    static final int PREFERRED_ENGINES = 5;
+
+    /**
+     * Mean number of other engines that are considered, at random. All VMs see the same queues, which are up to half a
+     * second old; if all considered the engine with the shortest one, it would get the diverted prompts of all.
+     */
+    static final double OTHER_ENGINES = 3;
+
+    /**
+     * By how many times the own waiting requests the VM assumes the other VMs to have sent as well since their reports,
+     * at most. It is no more than the ratio of the requests that are open at the engine.
+     */
+    static final int MAX_UNREPORTED_RATIO = 4;
 
     /** Time that a request beyond the slots of an average engine waits until another request has ended. */
     static final double QUEUED_REQUEST_MILLIS = 67;
 
+    /**
+     * Share of the waiting tokens of less urgent requests that counts as a cost. The engine computes the prompt before
+     * them, but that delays them; their objectives are farther away.
+     */
+    static final double DELAYED_SHARE = 0.5;
+
     /** Weight of this VM's own requests, which are known at once; those of peers are known one report later. */
     static final int LOCAL_REQUEST_WEIGHT = 2;
 
@@ -63,6 +84,7 @@
      * @param minWeightsVersion the oldest version of the model's weights that may run the request, or zero for any
      * @param avoidedTargets targets to select only if there is no other
      * @param tokens the size of the request in tokens
+     * @param priority the priority of the request, 0 being the highest
      * @param uncachedTokens estimates how many tokens of the prompt an engine has to compute
      * @param engineSpec the capacity of the pool's engines, or null for a pool of applications
      */
@@ -73,6 +95,7 @@
             long minWeightsVersion,
             Set<TargetEntry.Incarnation> avoidedTargets,
             long tokens,
+            int priority,
             ToLongFunction<LiveTarget> uncachedTokens,
             PoolSpec.@Nullable EngineSpec engineSpec) {
 
@@ -204,10 +227,16 @@
         List<LiveTarget> ranked = RendezvousOrder.rank(candidates, affinityKey);
         LiveTarget best = ranked.getFirst();
         double lowestCost = Double.MAX_VALUE;
+        int others = ranked.size() - PREFERRED_ENGINES;
         for (int rank = 0; rank < ranked.size(); rank++) {
+            if (rank >= PREFERRED_ENGINES && random.nextDouble() * others >= OTHER_ENGINES) {
+                continue;
+            }
             LiveTarget target = ranked.get(rank);
             double cost = millis(target, request, promptTokens)
-                    + (rank == 0 ? 0 : HOME_PREFERENCE_MILLIS + rank * RANK_PENALTY_MILLIS);
+                    + (rank == 0
+                            ? 0
+                            : HOME_PREFERENCE_MILLIS + Math.min(rank, PREFERRED_ENGINES) * RANK_PENALTY_MILLIS);
             if (cost < lowestCost) {
                 best = target;
                 lowestCost = cost;
@@ -234,24 +263,38 @@
         return target.load().inFlightLoad().plus(peers.loadOn(target.entry().id()));
     }
 
-    /** Returns the estimated time to the first event on a target. */
+    /**
+     * Returns the estimated time to the first event on a target, including requests that other VMs have probably sent, and
+     * a share of the delay of less urgent requests.
+     */
     private double millis(LiveTarget target, Request request, long promptTokens) {
-        return (backlogTokens(target, load(target), request) + promptTokens)
-                / (EngineSpeeds.TOKENS_PER_MS * target.load().speed().factor());
+        InFlightLoad own = target.load().inFlightLoad();
+        InFlightLoad reported = peers.loadOn(target.entry().id());
+        InFlightLoad load = own.plus(reported);
+        int unreportedRatio = Math.min(MAX_UNREPORTED_RATIO, reported.requests() / Math.max(1, own.requests()));
+        long waiting = load.waitingTokens() + unreportedRatio * own.waitingTokens();
+        long ahead = load.tokensAhead(request.priority()) + unreportedRatio * own.tokensAhead(request.priority());
+        double tokens = ahead
+                + DELAYED_SHARE * Math.max(0, waiting - ahead)
+                + excessTokens(target, load, request)
+                + promptTokens;
+        return tokens / (EngineSpeeds.TOKENS_PER_MS * target.load().speed().factor());
     }
 
-    /**
-     * Returns the waiting prompt tokens of a target, plus the tokens that exceed its cache and an equivalent for the
-     * requests that exceed its slots.
-     */
+    /** Returns the prompt tokens that a target computes before those of the request. */
     private static long backlogTokens(LiveTarget target, InFlightLoad load, Request request) {
-        long backlog = load.waitingTokens();
+        return load.tokensAhead(request.priority()) + excessTokens(target, load, request);
+    }
+
+    /** Returns the tokens that exceed the cache of a target, and an equivalent for the requests that exceed its slots. */
+    private static long excessTokens(LiveTarget target, InFlightLoad load, Request request) {
+        long excess = 0;
         PoolSpec.EngineSpec engine = request.engineSpec();
         if (engine != null && engine.cacheTokens() > 0) {
-            backlog += Math.max(0, load.tokens() + request.tokens() - engine.cacheTokens());
+            excess = Math.max(0, load.tokens() + request.tokens() - engine.cacheTokens());
         }
         int slots = engine == null ? target.entry().slots() : engine.slots();
         int queued = Math.max(0, load.requests() + 1 - slots);
-        return backlog + (long) (queued * QUEUED_REQUEST_MILLIS * EngineSpeeds.TOKENS_PER_MS);
+        return excess + (long) (queued * QUEUED_REQUEST_MILLIS * EngineSpeeds.TOKENS_PER_MS);
     }
 }
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -32,6 +32,8 @@
     private long openTokens;
     private long waitingTokens;
     private long lateTokens;
+    private long urgentTokens;
+    private long middleTokens;
     private int consecutiveFailures;
     private long lastProgressNanos;
     private Deadline backoffDeadline;
@@ -53,75 +55,54 @@
         this.refusalEnd = backoffDeadline;
     }
 
-    /**
-     * Records that a request is sent to the target, of which nothing is known to be cached.
-     *
-     * @param tokens the size of the request in tokens
-     * @param late whether it runs only after all requests that can still meet their latency objectives
-     */
-    public synchronized void requestSent(long tokens, boolean late) {
-        requestSent(tokens, tokens, late);
-    }
-
     /**
      * Records that a request is sent to the target.
      *
-     * @param tokens the size of the request in tokens
-     * @param uncachedTokens the tokens of its prompt that the target has to compute
-     * @param late whether it runs only after all requests that can still meet their latency objectives
+     * @param request the request
      */
-    public synchronized void requestSent(long tokens, long uncachedTokens, boolean late) {
+    public synchronized void requestSent(SentRequest request) {
         if (openRequests == 0) {
             lastProgressNanos = clock.nanos();
         }
         openRequests++;
-        openTokens += tokens;
-        addWaitingTokens(uncachedTokens, late);
+        openTokens += request.tokens();
+        addWaitingTokens(request, request.uncachedTokens());
     }
 
     /**
      * Records the first response byte of a request.
      *
-     * @param uncachedTokens the uncached tokens that the request was sent with
-     * @param late whether the request was sent as late
+     * @param request the request as it was sent
      */
-    public synchronized void firstByteReceived(long uncachedTokens, boolean late) {
-        addWaitingTokens(-uncachedTokens, late);
+    public synchronized void firstByteReceived(SentRequest request) {
+        addWaitingTokens(request, -request.uncachedTokens());
         lastProgressNanos = clock.nanos();
     }
 
-    /**
-     * Records the end of a request of which nothing was known to be cached.
-     *
-     * @param tokens the size that the request was sent with
-     * @param late whether the request was sent as late
-     * @param firstByteReceived whether the first response byte had been received
-     */
-    public synchronized void requestEnded(long tokens, boolean late, boolean firstByteReceived) {
-        requestEnded(tokens, tokens, late, firstByteReceived);
-    }
-
     /**
      * Records the end of a request.
      *
-     * @param tokens the size that the request was sent with
-     * @param uncachedTokens the uncached tokens that the request was sent with
-     * @param late whether the request was sent as late
+     * @param request the request as it was sent
      * @param firstByteReceived whether the first response byte had been received
      */
-    public synchronized void requestEnded(long tokens, long uncachedTokens, boolean late, boolean firstByteReceived) {
+    public synchronized void requestEnded(SentRequest request, boolean firstByteReceived) {
         openRequests--;
-        openTokens -= tokens;
+        openTokens -= request.tokens();
         if (!firstByteReceived) {
-            addWaitingTokens(-uncachedTokens, late);
+            addWaitingTokens(request, -request.uncachedTokens());
         }
     }
 
-    private void addWaitingTokens(long tokens, boolean late) {
-        if (late) {
+    private void addWaitingTokens(SentRequest request, long tokens) {
+        if (request.late()) {
             lateTokens += tokens;
-        } else {
-            waitingTokens += tokens;
+            return;
+        }
+        waitingTokens += tokens;
+        switch (request.priority()) {
+            case 0 -> urgentTokens += tokens;
+            case 1 -> middleTokens += tokens;
+            default -> {}
         }
     }
 
@@ -276,6 +257,6 @@
      * @return the sum over the open requests
      */
     public synchronized InFlightLoad inFlightLoad() {
-        return new InFlightLoad(openRequests, openTokens, waitingTokens, lateTokens);
+        return new InFlightLoad(openRequests, openTokens, waitingTokens, lateTokens, urgentTokens, middleTokens);
     }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/peer/PeerReportTests.java
@@ -7,6 +7,7 @@
 import dev.bluebellshunt.core.codec.Json;
 import dev.bluebellshunt.core.retry.CrashReport;
 import dev.bluebellshunt.core.retry.PromptPartReport;
+import dev.bluebellshunt.relay.target.InFlightLoad;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -50,4 +51,11 @@
                 {"vm":"vm-1","sequence":1,"uses":{},"admitted":{},"prefixes":{},"givesOrders":false,"loaded":[]}""";
         assertThat(Json.read(older, PeerReport.class).crashes(), nullValue());
     }
+
+    /** Guards against reports that a VM of another version cannot read while versions are mixed. */
+    @Test
+    void loadsOfOtherVersionsAreRead() {
+        assertThat(Json.read("[1,2,3,4]", InFlightLoad.class), equalTo(new InFlightLoad(1, 2, 3, 4)));
+        assertThat(Json.read("[1,2,3,4,5,6,7]", InFlightLoad.class), equalTo(new InFlightLoad(1, 2, 3, 4, 5, 6)));
+    }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/PoolTargetSelectorTests.java
@@ -61,6 +61,7 @@
                 minWeightsVersion,
                 avoidedTargets,
                 2_000,
+                2,
                 engine -> 2_000,
                 new PoolSpec.EngineSpec(48, 200_000));
     }
@@ -84,7 +85,7 @@
     @Test
     void hotPrefixIsSpreadOverEngines() {
         for (int i = 0; i < 200; i++) {
-            select("hot").load().requestSent(2_000, false);
+            select("hot").load().requestSent(new SentRequest(2_000, false));
         }
         long most = 0;
         long least = Long.MAX_VALUE;
@@ -101,19 +102,19 @@
     @Test
     void prefixStaysOnHomeEngineWithSmallBacklog() {
         LiveTarget home = select("p");
-        home.load().requestSent(HOME_PREFERENCE_TOKENS / 2, false);
+        home.load().requestSent(new SentRequest(HOME_PREFERENCE_TOKENS / 2, false));
         assertThat(select("p"), equalTo(home));
-        home.load().firstByteReceived(HOME_PREFERENCE_TOKENS / 2, false);
-        home.load().requestSent(HOME_PREFERENCE_TOKENS / 2, false);
+        home.load().firstByteReceived(new SentRequest(HOME_PREFERENCE_TOKENS / 2, false));
+        home.load().requestSent(new SentRequest(HOME_PREFERENCE_TOKENS / 2, false));
         assertThat(select("p"), equalTo(home));
     }
 
     @Test
     void oneLongWaitingPromptDoesNotDivertPrefix() {
         LiveTarget home = select("p");
-        home.load().requestSent(12_000, false);
+        home.load().requestSent(new SentRequest(12_000, false));
         assertThat(select("p"), equalTo(home));
-        home.load().requestSent(12_000, false);
+        home.load().requestSent(new SentRequest(12_000, false));
         assertThat(select("p"), not(home));
     }
 
@@ -132,7 +133,7 @@
     void lateRequestsAreNotCountedAsBacklog() {
         LiveTarget home = select("p");
         for (int i = 0; i < 20; i++) {
-            home.load().requestSent(5_000, true);
+            home.load().requestSent(new SentRequest(5_000, true));
         }
         PoolTargetSelector.Selection selection =
                 selector.select(engines, request(Set.of(), "p", 0, Set.of())).orElseThrow();
@@ -145,8 +146,8 @@
     void engineWithFullCacheIsNotSelected() {
         LiveTarget home = select("p");
         for (int i = 0; i < 20; i++) {
-            home.load().requestSent(12_000, false);
-            home.load().firstByteReceived(12_000, false);
+            home.load().requestSent(new SentRequest(12_000, false));
+            home.load().firstByteReceived(new SentRequest(12_000, false));
         }
         assertThat(select("p"), not(home));
     }
@@ -187,7 +188,7 @@
     @Test
     void requestsWithoutAffinityGoToLeastLoadedTarget() {
         for (int i = 0; i < 7; i++) {
-            engines.get(i).load().requestSent(1, false);
+            engines.get(i).load().requestSent(new SentRequest(1, false));
         }
         assertThat(select(null), equalTo(engines.get(7)));
     }
@@ -195,7 +196,7 @@
     @Test
     void stalledTargetIsNotSelected() {
         LiveTarget home = select("p");
-        home.load().requestSent(1_000, false);
+        home.load().requestSent(new SentRequest(1_000, false));
         clock.advance(TargetLoad.STALL_TIMEOUT);
         assertThat(select("p"), not(home));
         home.load().bytesReceived();
@@ -206,7 +207,7 @@
     @Test
     void queueOfSlowEngineCountsInTime() {
         LiveTarget home = select("p");
-        home.load().requestSent(10_000, false);
+        home.load().requestSent(new SentRequest(10_000, false));
         assertThat(select("p"), equalTo(home));
         home.load().speed().update(Math.log(0.5), 8);
         assertThat(select(keyWithHome(home)), not(home));
@@ -219,4 +220,30 @@
             }
         }
     }
+
+    /** Guards against urgent requests that are called late, or diverted, because of queues that the engine serves later. */
+    @Test
+    void urgentRequestWaitsOnlyForRequestsAsUrgent() {
+        LiveTarget home = select("p");
+        home.load().requestSent(new SentRequest(24_000, 24_000, 1, false));
+        home.load().requestSent(new SentRequest(500, 500, 0, false));
+        for (int priority = 0; priority < 4; priority++) {
+            PoolTargetSelector.Selection selection = selector.select(
+                            List.of(home),
+                            new PoolTargetSelector.Request(
+                                    Set.of(), "p", "m", 0, Set.of(), 2_000, priority, engine -> 2_000, null))
+                    .orElseThrow();
+            assertThat(selection.backlogTokens(), equalTo(priority == 0 ? 500L : 24_500L));
+        }
+    }
+
+    /** Guards against VMs that all divert to the same engine, because none knows what the others have just sent. */
+    @Test
+    void ownRequestsStandForUnreportedOnesOfPeers() {
+        LiveTarget home = select("p");
+        home.load().requestSent(new SentRequest(12_000, false));
+        assertThat(select("p"), equalTo(home));
+        peers.update(new PeerReport("vm-2", 1, Map.of(home.entry().id(), new InFlightLoad(4, 8_000, 0, 0)), Map.of()));
+        assertThat(select("p"), not(home));
+    }
 }
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/TargetDirectoryTests.java
@@ -106,7 +106,7 @@
     void loadIsKeptForIncarnationAndResetForTheNext() {
         update(List.of(first));
         TargetLoad load = directory.snapshot().pool("engines").getFirst().load();
-        load.requestSent(100, false);
+        load.requestSent(new SentRequest(100, false));
         update(List.of(first));
         assertThat(directory.snapshot().pool("engines").getFirst().load(), sameInstance(load));
         update(List.of(TestTargets.restarted(first)));
