Estimate the wait at plain applications, and reject what comes too late

Requests to applications had no estimate: they queued up to their deadlines behind others, and the number of slots of a target was not considered. They now go to the application with the fewest requests for its slots, which is the same one as before where all have the same number. ObservedServiceTime learns the time of requests that found a free slot; a request is rejected at once if no slot is free and its response would come after its deadline.

--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -320,6 +320,8 @@
                 .configuration(
                         configuration.version(), context.operatorState().age().toMillis() / 1_000.0);
         context.metrics().bodyBytes(context.bodyMemory().usedBytes());
+        context.metrics()
+                .enginesOfOtherSpeed(EngineSpeeds.countDifferent(context.targetDirectory().snapshot()));
         Duration newTimeout = configuration.limits().idleTimeout();
         if (newTimeout.equals(idleTimeout)) {
             return;
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/RelayCall.java
@@ -202,7 +202,7 @@
                 throw ShuntException.notRun(
                         ErrorCode.OVERLOADED,
                         Step.ROUTE,
-                        "The queues of the engines are too long to start the request before its deadline.",
+                        "The queues of the targets are too long to start the request before its deadline.",
                         tooLate.retryDelay());
             }
         };
@@ -335,7 +335,9 @@
             target.load().requestFailed();
             return false;
         }
-        if (!HttpStatus.isSuccess(response.getStatus())) {
+        if (HttpStatus.isSuccess(response.getStatus())) {
+            choice.recordResponse(Duration.ofNanos(context.clock().nanos() - sentNanos));
+        } else {
             crashes.recordOutcomeKnown();
         }
         if (response.getStatus() >= SERVER_ERROR_STATUS) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/proxy/TargetChoice.java
@@ -65,7 +65,7 @@
         }
         boolean wasLate = late;
         // A request that may have run is not rejected, since that would state that it has not.
-        if (history.possiblyExecuted() == 0 && caller.metadata().model() != null) {
+        if (history.possiblyExecuted() == 0) {
             CompletionEstimate.Outcome estimate = estimate(selection.get());
             late = !(estimate instanceof CompletionEstimate.Outcome.OnTime);
             if (estimate instanceof CompletionEstimate.Outcome.Hopeless hopeless) {
@@ -98,6 +98,14 @@
                 : PromptCachePlan.uncachedTokens(context, target, caller.metadata(), caller.workspace(), model);
     }
 
+    /** Records the time to the response of the chosen target. */
+    void recordResponse(Duration sinceSend) {
+        PoolTargetSelector.Selection selection = chosen;
+        if (selection != null && caller.metadata().model() == null) {
+            CompletionEstimate.recordResponse(selection, sinceSend);
+        }
+    }
+
     /**
      * Records the time to the first event of the chosen target. A late request waits for all others, so that its time says
      * nothing about the target.
@@ -110,6 +118,10 @@
     }
 
     private CompletionEstimate.Outcome estimate(PoolTargetSelector.Selection selection) {
+        if (caller.metadata().model() == null) {
+            return CompletionEstimate.estimateApplication(
+                    selection, caller.deadline().remaining(context.clock()).toMillis());
+        }
         return CompletionEstimate.estimate(
                 selection,
                 uncachedTokens(selection.target()),
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/CompletionEstimate.java
@@ -30,7 +30,34 @@
     }
 
     /**
-     * Estimates the outcome of a request.
+     * Estimates the outcome of a request to an application, which runs requests in the order of their arrival.
+     *
+     * @param selection the application and its queue
+     * @param remainingMillis the time until the deadline of the request
+     * @return {@link Outcome.Hopeless} if the response would come after the deadline, otherwise {@link Outcome.OnTime}
+     */
+    public static Outcome estimateApplication(PoolTargetSelector.Selection selection, long remainingMillis) {
+        double serviceMillis = selection.target().load().serviceTime().millis();
+        int slots = Math.max(1, selection.target().entry().slots());
+        double waitMillis = serviceMillis * selection.queuedRequests() / slots;
+        boolean hopeless = selection.queuedRequests() > 0 && waitMillis + serviceMillis > remainingMillis;
+        return hopeless ? new Outcome.Hopeless(Duration.ofMillis((long) waitMillis)) : new Outcome.OnTime();
+    }
+
+    /**
+     * Records the time to the response of an application, if it had a free slot.
+     *
+     * @param selection the application and its queue when the request was sent
+     * @param sinceSend the time from the send to the response
+     */
+    public static void recordResponse(PoolTargetSelector.Selection selection, Duration sinceSend) {
+        if (selection.queuedRequests() == 0) {
+            selection.target().load().serviceTime().record(sinceSend);
+        }
+    }
+
+    /**
+     * Estimates the outcome of a request to an engine.
      *
      * @param selection the engine and its queue
      * @param promptTokens the tokens of the prompt that are not cached
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/EngineSpeeds.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/EngineSpeeds.java
@@ -86,6 +86,19 @@
         engine.load().speed().record(logRatio, ownShare * ownShare);
     }
 
+    /**
+     * Counts the engines that are clearly faster or slower than their pool.
+     *
+     * @param targets the registered targets
+     * @return the number of engines
+     */
+    public static long countDifferent(TargetSnapshot targets) {
+        return targets.byPool().values().stream()
+                .flatMap(List::stream)
+                .filter(engine -> engine.load().speed().factor() != 1)
+                .count();
+    }
+
     @Override
     public void tick() {
         if (interval.isDue()) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
@@ -21,7 +21,7 @@
  * <p>Requests with the same prompt prefix have one home engine, determined by rendezvous hashing weighted with the speeds
  * of the engines, so that all VMs agree on it without communication. A request is diverted only if it would start considerably sooner on
  * another engine; engines are then preferred in rendezvous order. Requests without an affinity key go to the
- * target with the fewest open requests.
+ * target with the fewest open requests for its number of slots.
  */
 public final class PoolTargetSelector {
 
@@ -112,8 +112,9 @@
      * @param target the target
      * @param backlogTokens prompt tokens to process before a request that can still meet its objective
      * @param lateTokens additional prompt tokens to process before a request that can't meet its objective
+     * @param queuedRequests the requests that wait for a slot of an application, including this one
      */
-    public record Selection(LiveTarget target, long backlogTokens, long lateTokens) {
+    public record Selection(LiveTarget target, long backlogTokens, long lateTokens, int queuedRequests) {
 
         /**
          * Returns how long the engine takes to compute prompt tokens.
@@ -195,21 +196,23 @@
     private Selection selectLeastLoaded(List<LiveTarget> candidates) {
         int start = random.nextInt(candidates.size());
         LiveTarget best = candidates.get(start);
-        int fewestRequests = weightedRequests(best);
+        double shortestWait = requestsPerSlot(best);
         for (int i = 1; i < candidates.size(); i++) {
             LiveTarget next = candidates.get((start + i) % candidates.size());
-            int openRequests = weightedRequests(next);
-            if (openRequests < fewestRequests) {
+            double wait = requestsPerSlot(next);
+            if (wait < shortestWait) {
                 best = next;
-                fewestRequests = openRequests;
+                shortestWait = wait;
             }
         }
-        return new Selection(best, 0, 0);
+        return new Selection(best, 0, 0, Math.max(0, load(best).requests() + 1 - best.entry().slots()));
     }
 
-    private int weightedRequests(LiveTarget target) {
-        return LOCAL_REQUEST_WEIGHT * target.load().inFlightLoad().requests()
+    /** Returns a measure of the wait at a target: its requests, relative to how many it runs concurrently. */
+    private double requestsPerSlot(LiveTarget target) {
+        int requests = LOCAL_REQUEST_WEIGHT * target.load().inFlightLoad().requests()
                 + peers.loadOn(target.entry().id()).requests();
+        return requests / (double) Math.max(1, target.entry().slots());
     }
 
     private Selection selectByAffinity(List<LiveTarget> candidates, String affinityKey, Request request) {
@@ -256,7 +259,7 @@
 
     private Selection selection(LiveTarget target, Request request) {
         InFlightLoad load = load(target);
-        return new Selection(target, backlogTokens(target, load, request), load.lateTokens());
+        return new Selection(target, backlogTokens(target, load, request), load.lateTokens(), 0);
     }
 
     private InFlightLoad load(LiveTarget target) {
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/TargetLoad.java
@@ -27,6 +27,7 @@
     private final MonotonicClock clock;
     private final ProcessEvidence evidence;
     private final ObservedSpeed speed;
+    private final ObservedServiceTime serviceTime = new ObservedServiceTime();
     private final Map<String, Long> weightsVersions = new HashMap<>();
     private int openRequests;
     private long openTokens;
@@ -231,6 +232,15 @@
         return speed;
     }
 
+    /**
+     * Returns the observed service time of the target, an application.
+     *
+     * @return the service time
+     */
+    public ObservedServiceTime serviceTime() {
+        return serviceTime;
+    }
+
     /**
      * Records the version of a model's weights that the target has.
      *
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -81,6 +81,10 @@
             .name("bluebellshunt_relay_other_hubs")
             .help("The other hubs that this VM knows.")
             .register(registry);
+    private final Gauge enginesOfOtherSpeed = Gauge.builder()
+            .name("bluebellshunt_relay_engines_of_other_speed")
+            .help("Engines that this VM counts as clearly faster or slower than the mean of their pool.")
+            .register(registry);
     private final Gauge bodyBytes = Gauge.builder()
             .name("bluebellshunt_relay_body_bytes")
             .help("Memory for the bodies of open requests and their responses.")
@@ -184,6 +188,15 @@
         otherHubs.set(hubs);
     }
 
+    /**
+     * Records how many engines differ in speed.
+     *
+     * @param engines the number of engines that are clearly faster or slower than their pool
+     */
+    public void enginesOfOtherSpeed(long engines) {
+        enginesOfOtherSpeed.set(engines);
+    }
+
     /**
      * Records the memory for bodies that is in use.
      *
--- a/relay/src/test/java/dev/bluebellshunt/relay/target/CompletionEstimateTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/target/CompletionEstimateTests.java
@@ -14,13 +14,31 @@
     private static Outcome estimate(long backlogTokens, long lateTokens, long elapsedMillis, long remainingMillis) {
         LiveTarget engine = new LiveTarget(TestTargets.engine("e", 1), new TargetLoad(new ManualClock()));
         return CompletionEstimate.estimate(
-                new PoolTargetSelector.Selection(engine, backlogTokens, lateTokens),
+                new PoolTargetSelector.Selection(engine, backlogTokens, lateTokens, 0),
                 12_000,
                 elapsedMillis,
                 800,
                 remainingMillis);
     }
 
+    /** Six slots of 0.2 s each: twelve queued requests take 0.4 s. */
+    @Test
+    void requestToApplicationIsRejectedOnlyIfItsResponseWouldBeTooLate() {
+        LiveTarget application = new LiveTarget(TestTargets.application("a"), new TargetLoad(new ManualClock()));
+        PoolTargetSelector.Selection free = new PoolTargetSelector.Selection(application, 0, 0, 0);
+        PoolTargetSelector.Selection queued = new PoolTargetSelector.Selection(application, 0, 0, 12);
+        for (int i = 0; i < ObservedServiceTime.MIN_RESPONSES; i++) {
+            assertThat(CompletionEstimate.estimateApplication(queued, 1), equalTo(new Outcome.OnTime()));
+            CompletionEstimate.recordResponse(queued, Duration.ofSeconds(5));
+            CompletionEstimate.recordResponse(free, Duration.ofMillis(200));
+        }
+        assertThat(CompletionEstimate.estimateApplication(queued, 600), equalTo(new Outcome.OnTime()));
+        assertThat(
+                CompletionEstimate.estimateApplication(queued, 599),
+                equalTo(new Outcome.Hopeless(Duration.ofMillis(400))));
+        assertThat(CompletionEstimate.estimateApplication(free, 1), equalTo(new Outcome.OnTime()));
+    }
+
     @Test
     void requestIsOnTimeUpToItsObjective() {
         assertThat(estimate(30_000, 600_000, 100, 5_000), equalTo(new Outcome.OnTime()));
