--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -261,6 +261,7 @@
                                 operators.isReadingStore(),
                                 place.isHub(),
                                 place.hubAddresses().size());
+                context.metrics().store(store.era().number(), store.eras().doubtfulResponses());
                 runHousekeeping();
             }
         });
@@ -321,7 +322,8 @@
                         configuration.version(), context.operatorState().age().toMillis() / 1_000.0);
         context.metrics().bodyBytes(context.bodyMemory().usedBytes());
         context.metrics()
-                .enginesOfOtherSpeed(EngineSpeeds.countDifferent(context.targetDirectory().snapshot()));
+                .enginesOfOtherSpeed(
+                        EngineSpeeds.countDifferent(context.targetDirectory().snapshot()));
         Duration newTimeout = configuration.limits().idleTimeout();
         if (newTimeout.equals(idleTimeout)) {
             return;
--- a/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/target/PoolTargetSelector.java
@@ -205,7 +205,8 @@
                 shortestWait = wait;
             }
         }
-        return new Selection(best, 0, 0, Math.max(0, load(best).requests() + 1 - best.entry().slots()));
+        return new Selection(
+                best, 0, 0, Math.max(0, load(best).requests() + 1 - best.entry().slots()));
     }
 
     /** Returns a measure of the wait at a target: its requests, relative to how many it runs concurrently. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/telemetry/RelayMetrics.java
@@ -85,6 +85,14 @@
             .name("bluebellshunt_relay_engines_of_other_speed")
             .help("Engines that this VM counts as clearly faster or slower than the mean of their pool.")
             .register(registry);
+    private final Gauge storeEra = Gauge.builder()
+            .name("bluebellshunt_relay_store_era")
+            .help("The era of the store, which rises with each restore; 0 if the store states none.")
+            .register(registry);
+    private final Gauge doubtfulStoreResponses = Gauge.builder()
+            .name("bluebellshunt_relay_doubtful_store_responses")
+            .help("Responses of the store that were not used because of the era that they stated.")
+            .register(registry);
     private final Gauge bodyBytes = Gauge.builder()
             .name("bluebellshunt_relay_body_bytes")
             .help("Memory for the bodies of open requests and their responses.")
@@ -197,6 +205,17 @@
         enginesOfOtherSpeed.set(engines);
     }
 
+    /**
+     * Records the era of the store.
+     *
+     * @param era the era
+     * @param doubtfulResponses the number of responses that were not used because of their era
+     */
+    public void store(long era, long doubtfulResponses) {
+        storeEra.set(era);
+        doubtfulStoreResponses.set(doubtfulResponses);
+    }
+
     /**
      * Records the memory for bodies that is in use.
      *
