--- a/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelayDaemon.java
@@ -160,7 +160,13 @@
         CrashRecorder crashRecorder = new CrashRecorder(crashSuspects, metrics, decisionLog);
         TargetDirectory directory = new TargetDirectory(clock, crashRecorder::recordEnd);
         PeerReportTable peerReports = new PeerReportTable(clock, settings.quotaWindow());
-        FleetLimits limits = new FleetLimits(clock, settings.retries(), settings.quotaWindow(), peerReports, random);
+        FleetLimits limits = new FleetLimits(
+                clock,
+                settings.retries(),
+                settings.quotaWindow(),
+                peerReports,
+                random,
+                workspace -> settings.pacesTokenLimits() || !workspace.countsTokens());
         EngineCacheIndex engineCacheIndex = new EngineCacheIndex(clock);
         PromptCacheStoreIndex cacheStoreIndex = new PromptCacheStoreIndex(clock);
         this.drain = new DrainState(clock);
--- a/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/RelaySettings.java
@@ -24,6 +24,7 @@
  * @param entryLifetime the time after which the store removes the entry of a target that has ended
  * @param gracePeriod the time that the process may take to stop
  * @param connections the limits on the connections of each port
+ * @param pacesTokenLimits whether limits in tokens are divided by urgency while they are short, as limits in requests are
  * @param engineSpeeds whether targets are chosen by the observed speeds of engines
  * @param releases the bounds on roll-outs of software versions, or null if orders for them are not acted on
  */
@@ -43,5 +44,6 @@
         Duration entryLifetime,
         Duration gracePeriod,
         ConnectionBounds connections,
+        boolean pacesTokenLimits,
         boolean engineSpeeds,
         @Nullable ReleaseBounds releases) {}
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/FleetLimits.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -41,6 +42,7 @@
     private final Duration quotaWindow;
     private final PeerReportTable peers;
     private final RandomGenerator random;
+    private final Predicate<RelayWorkspace> paced;
     private final PauseGuard pauseGuard;
     private final Map<String, WorkspaceQuota> quotas = new ConcurrentHashMap<>();
     private final Deadline retrySharingStart;
@@ -96,6 +98,28 @@
             Duration quotaWindow,
             PeerReportTable peers,
             RandomGenerator random) {
+        this(clock, bounds, quotaWindow, peers, random, workspace -> true);
+    }
+
+    /**
+     * Creates the limits of a VM that does not know any peers yet.
+     *
+     * @param clock the time source
+     * @param bounds the bounds on retries
+     * @param quotaWindow the length of the sliding window of workspace limits
+     * @param peers the reports of the other VMs
+     * @param random spreads the admissions and returns of requests that compete
+     * @param paced the workspaces whose requests are admitted by urgency while their limit is short; those of others are admitted
+     *     in the order of arrival
+     */
+    public FleetLimits(
+            MonotonicClock clock,
+            RetryBounds bounds,
+            Duration quotaWindow,
+            PeerReportTable peers,
+            RandomGenerator random,
+            Predicate<RelayWorkspace> paced) {
+        this.paced = paced;
         this.clock = clock;
         this.bounds = bounds;
         this.quotaWindow = quotaWindow;
@@ -245,6 +269,9 @@
             return PauseGuard.BUFFERED_REPORTS_TIME;
         }
         WorkspaceQuota.PeerUsage usage = peerUsage(workspace);
+        if (!paced.test(workspace)) {
+            return quota(workspace.name()).admit(cost, usage);
+        }
         OfferedUnits peerOffers = peers.observations().offered().getOrDefault(workspace.name(), OfferedUnits.NONE);
         return quota(workspace.name())
                 .admit(
--- a/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/limit/WorkspaceQuota.java
@@ -107,10 +107,31 @@
         if (!fits || !takeTurn(urgency, share)) {
             return returnDelay(share);
         }
+        chargeAdmitted(cost);
+        return Duration.ZERO;
+    }
+
+    /**
+     * Admits a request if it fits into the limit, in the order of arrival.
+     *
+     * @param cost the cost of the request in units
+     * @param peers the usage by the other VMs
+     * @return zero if the request was admitted, otherwise the estimated time until it fits
+     */
+    synchronized Duration admit(double cost, PeerUsage peers) {
+        double used = admitted.total() + Math.max(peers.estimated(), peers.reported() + estimateUnreported(peers));
+        double needed = Math.min(cost, peers.oversizedThreshold());
+        if (!initialized || used + needed > peers.limit()) {
+            return Duration.ofNanos(admitted.slotNanos() * slotsUntilFree(used + needed - peers.limit(), used));
+        }
+        chargeAdmitted(cost);
+        return Duration.ZERO;
+    }
+
+    private void chargeAdmitted(double cost) {
         charge(cost);
         largestInSlot = largestSlot == admitted.currentSlot() ? Math.max(largestInSlot, cost) : cost;
         largestSlot = admitted.currentSlot();
-        return Duration.ZERO;
     }
 
     /**
--- a/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
+++ b/relay/src/test/java/dev/bluebellshunt/relay/RelayDaemonTests.java
@@ -178,6 +178,7 @@
                 Duration.ofSeconds(8),
                 ConnectionBounds.of(430, 4_100, 96 << 20),
                 false,
+                false,
                 null);
         EngineControl noEngines = new EngineControl() {
             @Override
