--- a/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/peer/PeerReportTable.java
@@ -211,7 +211,7 @@
      *
      * @return false if it knows nothing current of the fleet
      */
-    public synchronized boolean hearsOthers() {
+    public synchronized boolean hasCurrentReports() {
         return isDigestFresh() || !freshReports().isEmpty();
     }
 
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
@@ -256,7 +256,7 @@
             plans.add(new ReleaseStore.Plan(order, phase, wanted(verdict), verdict.reason(), startedMillis(order)));
             metrics.releasePhase(name, phase.number());
             boolean alone = topology.topology().hubAddresses().isEmpty();
-            boolean sends = phase == ReleasePhase.RUNNING && !stopped && (alone || peers.hearsOthers());
+            boolean sends = phase == ReleasePhase.RUNNING && !stopped && (alone || peers.hasCurrentReports());
             return new ReleaseState(
                     serving,
                     replaced,
