--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -227,7 +228,7 @@
                 return new ReleaseState(
                         serving,
                         null,
-                        heldVersions(targets),
+                        heldVersions(targets, serving),
                         null,
                         phase,
                         ReleaseDecision.SUSPENDED,
@@ -270,24 +271,21 @@
                     validUntil);
         }
 
-        /** Returns the versions that have just appeared, while targets of a version that is known for longer accept requests. */
-        private Set<String> heldVersions(List<LiveTarget> targets) {
+        /** Returns the versions that have just appeared beside the one that serves the pool. */
+        private Set<String> heldVersions(List<LiveTarget> targets, String serving) {
             Set<String> held = new HashSet<>();
-            holdEnds.keySet()
-                    .retainAll(targets.stream()
-                            .map(target -> target.entry().softwareVersion())
-                            .toList());
-            boolean othersAccept = false;
             for (LiveTarget target : targets) {
                 String version = target.entry().softwareVersion();
                 Deadline holdEnd = holdEnds.computeIfAbsent(version, v -> Deadline.after(clock, NEW_VERSION_HOLD));
-                if (!holdEnd.hasPassed(clock)) {
+                if (!version.equals(serving) && !holdEnd.hasPassed(clock)) {
                     held.add(version);
-                } else {
-                    othersAccept |= target.acceptsRequests() && target.load().isUsable();
                 }
             }
-            return othersAccept ? held : Set.of();
+            holdEnds.keySet()
+                    .retainAll(targets.stream()
+                            .map(target -> target.entry().softwareVersion())
+                            .collect(Collectors.toSet()));
+            return held;
         }
 
         /** Dates an order that was found at start by its record, since the VMs that learned of it have all restarted. */
