--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseState.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseState.java
@@ -10,8 +10,7 @@
  * What one VM knows of the versions of a pool. Immutable, except for the counters of the order.
  *
  * @param base the version that serves the pool without the order
- * @param replaced the version that a completed order has replaced, or null if this VM does not know it
- * @param held the versions that get no requests because they have just appeared and no order is known
+ * @param permitted the versions that get requests while no order is in force; none that has just appeared
  * @param current the order in force, or null if there is none
  * @param phase the phase of the order
  * @param verdict the current decision, as far as it concerns this VM
@@ -22,8 +21,7 @@
  */
 record ReleaseState(
         String base,
-        @Nullable String replaced,
-        Set<String> held,
+        Set<String> permitted,
         @Nullable Current current,
         ReleasePhase phase,
         ReleaseDecision.Verdict verdict,
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/ReleaseSystem.java
@@ -227,8 +227,7 @@
             if (known == null) {
                 return new ReleaseState(
                         serving,
-                        null,
-                        heldVersions(targets, serving),
+                        permittedVersions(targets, serving),
                         null,
                         phase,
                         ReleaseDecision.SUSPENDED,
@@ -260,8 +259,7 @@
             boolean sends = phase == ReleasePhase.RUNNING && !stopped && (alone || peers.hasCurrentReports());
             return new ReleaseState(
                     serving,
-                    replaced,
-                    Set.of(),
+                    permittedVersions(targets, serving),
                     known,
                     phase,
                     sends || phase != ReleasePhase.RUNNING ? verdict : ReleaseDecision.SUSPENDED,
@@ -271,21 +269,35 @@
                     validUntil);
         }
 
-        /** Returns the versions that have just appeared beside the one that serves the pool. */
-        private Set<String> heldVersions(List<LiveTarget> targets, String serving) {
-            Set<String> held = new HashSet<>();
+        /**
+         * Returns the versions that get requests while no order is in force: those that have not just appeared, without the one
+         * that the last order has replaced or rolled back. A version that no tick has seen yet is not among them.
+         */
+        private Set<String> permittedVersions(List<LiveTarget> targets, String serving) {
+            Set<String> permitted = new HashSet<>();
             for (LiveTarget target : targets) {
                 String version = target.entry().softwareVersion();
                 Deadline holdEnd = holdEnds.computeIfAbsent(version, v -> Deadline.after(clock, NEW_VERSION_HOLD));
-                if (!version.equals(serving) && !holdEnd.hasPassed(clock)) {
-                    held.add(version);
+                if (holdEnd.hasPassed(clock)) {
+                    permitted.add(version);
                 }
             }
             holdEnds.keySet()
                     .retainAll(targets.stream()
                             .map(target -> target.entry().softwareVersion())
                             .collect(Collectors.toSet()));
-            return held;
+            ReleaseState.Current known = current;
+            if (known != null && phase == ReleasePhase.ROLLED_BACK) {
+                permitted.remove(known.order().targetVersion());
+            }
+            permitted.add(
+                    phase == ReleasePhase.COMPLETED && known != null
+                            ? known.order().targetVersion()
+                            : serving);
+            if (phase == ReleasePhase.COMPLETED && replaced != null) {
+                permitted.remove(replaced);
+            }
+            return permitted;
         }
 
         /** Dates an order that was found at start by its record, since the VMs that learned of it have all restarted. */
--- a/relay/src/main/java/dev/bluebellshunt/relay/release/Releases.java
+++ b/relay/src/main/java/dev/bluebellshunt/relay/release/Releases.java
@@ -133,14 +133,11 @@
         public boolean permits(LiveTarget target) {
             ReleaseState state = states.get(pool);
             String version = target.entry().softwareVersion();
-            if (state == null || state.current() == null) {
-                return state == null || !state.held().contains(version);
+            if (state == null) {
+                return true;
             }
-            if (state.phase() == ReleasePhase.COMPLETED) {
-                return !version.equals(state.replaced());
-            }
-            if (state.phase() == ReleasePhase.ROLLED_BACK && !state.isNewOnly()) {
-                return !version.equals(state.targetVersion());
+            if (state.current() == null || state.phase().isFinal()) {
+                return state.permitted().contains(version);
             }
             Boolean chosen = newVersion;
             if (chosen == null) {
