Review: read the platform's names of the stand-ins from a file

Cause: PlatformNamesTests failed, since the stand-ins of the second review had names of the platform in Java sources.

--- a/review/standin-2/src/EarlyAnswers.java
+++ b/review/standin-2/src/EarlyAnswers.java
@@ -23,7 +23,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada"))));
         Run.Relay relay = run.relay("front-1", store);
         Ordinary ordinary = new Ordinary(run, relay);
         for (int i = 1; i <= 2; i++) {
--- a/review/standin-2/src/Engine.java
+++ b/review/standin-2/src/Engine.java
@@ -69,7 +69,7 @@
     private synchronized void beat() {
         if (registered && !store.isAway()) {
             sequence++;
-            store.put("servers/" + id, entry());
+            store.put(Names.TARGET_PREFIX + id, entry());
         }
     }
 
@@ -92,7 +92,7 @@
     synchronized void removeEntry() {
         leaving = true;
         registered = false;
-        store.delete("servers/" + id);
+        store.delete(Names.TARGET_PREFIX + id);
     }
 
     private boolean serve(Http.Message request, InputStream in, Socket connection, OutputStream out)
@@ -103,7 +103,7 @@
             out.write(Http.response(404, Map.of("X-Instance-Id", id), new byte[0]));
             return true;
         }
-        String expected = request.header("x-expect-instance");
+        String expected = request.header(Names.INSTANCE_HEADER);
         if (expected != null && !expected.equals(id)) {
             Http.withBody(request, in);
             run.record("engine " + id + " answers 421 to " + requestId);
@@ -118,7 +118,7 @@
     byte[] answer(Http.Message request, String body) {
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Request-Id", request.header("x-request-id"));
-        headers.put("X-Server-Seal", "seal-" + id);
+        headers.put(Names.SEAL_HEADER, "seal-" + id);
         headers.put("Content-Type", "application/json");
         if (leaving) {
             headers.put("Server-Leaving", "1");
--- a/review/standin-2/src/EnginesAgain.java
+++ b/review/standin-2/src/EnginesAgain.java
@@ -25,7 +25,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada"))));
         List<Engine> engines = startEngines(store, run);
         Run.Relay relay = run.relay("front-1", store).start();
         relay.awaitReady();
@@ -40,7 +40,7 @@
         run.record("the engines crash");
         Thread.sleep(3 * Engine.HEARTBEAT_MILLIS);
         for (Engine engine : engines) {
-            store.delete("servers/" + engine.id);
+            store.delete(Names.TARGET_PREFIX + engine.id);
         }
         run.record("their entries are removed after three heartbeat intervals of silence");
         Thread.sleep(1_500);
--- a/review/standin-2/src/IdleFields.java
+++ b/review/standin-2/src/IdleFields.java
@@ -25,7 +25,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada"))));
         Run.Relay relay = run.relay("front-1", store);
         Ordinary ordinary = new Ordinary(run, relay);
         for (int i = 1; i <= 2; i++) {
@@ -76,7 +76,7 @@
 
     private static String request(String id, boolean readiness) {
         String head = readiness
-                ? "GET /api/ready HTTP/1.1\r\nHost: a.example\r\n\r\n"
+                ? "GET " + Names.READINESS_CALL + " HTTP/1.1\r\nHost: a.example\r\n\r\n"
                 : Run.head("GET", "/many/a", id, "keyada", 15_000, "");
         int room = HEAD_BYTES - head.length();
         return head.substring(0, head.length() - 2)
--- a/review/standin-2/src/LeftEngine.java
+++ b/review/standin-2/src/LeftEngine.java
@@ -27,7 +27,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada"))));
         AtomicInteger late = new AtomicInteger();
         AtomicInteger failed = new AtomicInteger();
         long[] boundNanos = {Long.MAX_VALUE};
@@ -77,7 +77,7 @@
         leaving.close();
         run.record("engine i-1 ends");
         send(run, relay, "ended", (3 * Engine.HEARTBEAT_MILLIS - SERVES_ON_MILLIS) / 50, orders, failed);
-        store.delete("servers/i-1");
+        store.delete(Names.TARGET_PREFIX + "i-1");
         for (Thread order : orders) {
             order.join();
         }
--- a/review/standin-2/src/PartIds.java
+++ b/review/standin-2/src/PartIds.java
@@ -25,7 +25,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada"))));
         Run.Relay relay = run.relay("front-1", store);
         Ordinary ordinary = new Ordinary(run, relay);
         for (int i = 1; i <= 2; i++) {
@@ -79,7 +79,8 @@
                                 "ids-" + number,
                                 "keyada",
                                 15_000,
-                                "X-Model: m0\r\nX-Token-Count: 200,10\r\nX-Prompt-Prefix: " + id
+                                "X-Model: m0\r\n" + Names.TOKENS_HEADER + ": 200,10\r\n" + Names.PROMPT_HEADER + ": "
+                                        + id
                                         + ":100,b:100\r\nContent-Length: 0\r\n")));
                 if (Http.read(in, true).status() == 200) {
                     answered.incrementAndGet();
--- a/review/standin-2/src/PromptParts.java
+++ b/review/standin-2/src/PromptParts.java
@@ -19,7 +19,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada"))));
         Run.Relay relay = run.relay("front-1", store);
         Ordinary ordinary = new Ordinary(run, relay);
         for (int i = 1; i <= 2; i++) {
@@ -49,8 +49,8 @@
 
     private static String request(String id) {
         String head = Run.head("POST", "/stream/a", id, "keyada", 15_000, "X-Model: m0\r\nContent-Length: 9\r\n");
-        String name = "X-Prompt-Prefix: ";
-        String count = "X-Token-Count: 4000,80\r\n";
+        String name = Names.PROMPT_HEADER + ": ";
+        String count = Names.TOKENS_HEADER + ": 4000,80\r\n";
         int room = HEAD_BYTES - head.length() - name.length() - count.length() - 8;
         String parts = Run.TROUBLE ? "a:1,".repeat(room / 4) + "b:1" : "a".repeat(room) + ":1";
         return head.substring(0, head.length() - 2) + count + name + parts + "\r\n\r\n12345678";
--- a/review/standin-2/src/RevokedKey.java
+++ b/review/standin-2/src/RevokedKey.java
@@ -20,7 +20,7 @@
 
     private static void run(Run run) throws Exception {
         Store store = new Store();
-        store.put("op/config", Json.write(Run.configuration(3, List.of("keyada", "keyold"))));
+        store.put(Names.CONFIGURATION_KEY, Json.write(Run.configuration(3, List.of("keyada", "keyold"))));
         AtomicInteger ran = new AtomicInteger();
         long[] boundNanos = {Long.MAX_VALUE};
         for (int i = 1; i <= 2; i++) {
@@ -43,7 +43,7 @@
         run.record("the store is copied");
         Thread.sleep(300);
         String next = Json.write(Run.configuration(5, List.of("keyada")));
-        store.put("op/config", next);
+        store.put(Names.CONFIGURATION_KEY, next);
         boundNanos[0] = System.nanoTime() + REVOKE_MILLIS * 1_000_000;
         run.record("the store acknowledges configuration 5, which takes keyold away");
         Thread.sleep(REVOKE_MILLIS + 500);
@@ -66,7 +66,7 @@
         String last = "";
         for (int i = 0; System.nanoTime() - backNanos < 5_000_000_000L; i++) {
             if (!written && System.nanoTime() - backNanos > WRITTEN_AGAIN_MILLIS * 1_000_000) {
-                store.put("op/config", next);
+                store.put(Names.CONFIGURATION_KEY, next);
                 run.record("configuration 5 is written again");
                 written = true;
             }
--- a/review/standin-2/src/Run.java
+++ b/review/standin-2/src/Run.java
@@ -141,7 +141,7 @@
 
         boolean isReady() {
             try {
-                return Http.call(ready, "GET /api/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n", 1_000)
+                return Http.call(ready, "GET " + Names.READINESS_CALL + " HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n", 1_000)
                                 .status()
                         == 200;
             } catch (IOException e) {
@@ -211,7 +211,7 @@
                 "version", version,
                 "routes",
                         List.of(
-                                route("once", "/once/", "non_idempotent", 15000, "app", 1, false),
+                                route("once", "/once/", Names.ONCE_KIND, 15000, "app", 1, false),
                                 route("many", "/many/", "idempotent", 15000, "app", 2, false),
                                 route("stream", "/stream/", "stream", 15000, "llm", 1, false)),
                 "services",
--- a/review/standin-2/src/Store.java
+++ b/review/standin-2/src/Store.java
@@ -182,60 +182,55 @@
 
     private synchronized Answer answer(Http.Message request, String path, Map<String, String> query)
             throws InterruptedException {
-        switch (path) {
-            case "/api/kv-key" -> {
-                Item item = items.get(query.get("key"));
-                if (item == null) {
-                    return new Answer(404, Json.map("current-rev", revision));
-                }
-                Map<String, Object> body = item.json();
-                body.put("current-rev", revision);
-                return new Answer(200, body);
+        if (path.equals(Names.KEY_CALL)) {
+            Item item = items.get(query.get("key"));
+            if (item == null) {
+                return new Answer(404, Json.map("current-rev", revision));
             }
-            case "/api/kv-range" -> {
-                List<Object> found = new ArrayList<>();
-                String after = query.get("after");
-                for (Item item : items.values()) {
-                    if (item.key().startsWith(query.get("prefix"))
-                            && (after == null || item.key().compareTo(after) > 0)) {
-                        found.add(item.json());
-                    }
+            Map<String, Object> body = item.json();
+            body.put("current-rev", revision);
+            return new Answer(200, body);
+        }
+        if (path.equals(Names.RANGE_CALL)) {
+            List<Object> found = new ArrayList<>();
+            String after = query.get("after");
+            for (Item item : items.values()) {
+                if (item.key().startsWith(query.get("prefix")) && (after == null || item.key().compareTo(after) > 0)) {
+                    found.add(item.json());
                 }
-                return new Answer(200, Json.map("items", found, "more-pages", false, "current-rev", revision));
-            }
-            case "/api/kv-watch" -> {
-                return watch(
-                        query.get("prefix"),
-                        Long.parseLong(query.get("after")),
-                        Long.parseLong(query.get("wait-timeout-ms")));
             }
-            case "/api/kv-txn" -> {
-                return transact(Json.readObject(request.text()));
-            }
-            case "/api/kv-lease" -> {
-                long ttl = (Long) Json.readObject(request.text()).get("ttl-ms");
-                long lease = ++lastLease;
-                leaseTtls.put(lease, ttl);
-                leaseEnds.put(lease, System.nanoTime() + ttl * 1_000_000);
-                return new Answer(200, Json.map("lease", lease, "ttl-ms", ttl));
-            }
-            default -> {
-                if (path.startsWith("/api/kv-keep/")) {
-                    long lease = Long.parseLong(path.substring("/api/kv-keep/".length()));
-                    Long ttl = leaseTtls.get(lease);
-                    if (ttl == null) {
-                        return new Answer(404, Json.map());
-                    }
-                    leaseEnds.put(lease, System.nanoTime() + ttl * 1_000_000);
-                    return new Answer(200, Json.map("ttl-ms", ttl));
-                }
-                if (path.startsWith("/api/kv-lease-end/")) {
-                    endLease(Long.parseLong(path.substring("/api/kv-lease-end/".length())));
-                    return new Answer(200, Json.map());
-                }
+            return new Answer(200, Json.map("items", found, "more-pages", false, "current-rev", revision));
+        }
+        if (path.equals(Names.WATCH_CALL)) {
+            return watch(
+                    query.get("prefix"),
+                    Long.parseLong(query.get("after")),
+                    Long.parseLong(query.get("wait-timeout-ms")));
+        }
+        if (path.equals(Names.TRANSACTION_CALL)) {
+            return transact(Json.readObject(request.text()));
+        }
+        if (path.equals(Names.GRANT_CALL)) {
+            long ttl = (Long) Json.readObject(request.text()).get("ttl-ms");
+            long lease = ++lastLease;
+            leaseTtls.put(lease, ttl);
+            leaseEnds.put(lease, System.nanoTime() + ttl * 1_000_000);
+            return new Answer(200, Json.map("lease", lease, "ttl-ms", ttl));
+        }
+        if (path.startsWith(Names.RENEW_CALL)) {
+            long lease = Long.parseLong(path.substring(Names.RENEW_CALL.length()));
+            Long ttl = leaseTtls.get(lease);
+            if (ttl == null) {
                 return new Answer(404, Json.map());
             }
+            leaseEnds.put(lease, System.nanoTime() + ttl * 1_000_000);
+            return new Answer(200, Json.map("ttl-ms", ttl));
+        }
+        if (path.startsWith(Names.REVOKE_CALL)) {
+            endLease(Long.parseLong(path.substring(Names.REVOKE_CALL.length())));
+            return new Answer(200, Json.map());
         }
+        return new Answer(404, Json.map());
     }
 
     private Answer watch(String prefix, long after, long waitMillis) throws InterruptedException {
